--- /dev/null
+++ b/src/benchlink/facts.cpp
@@ -0,0 +1,145 @@
+#include "benchlink/facts.hpp"
+
+#include <charconv>
+#include <cmath>
+#include <map>
+
+#include "benchlink/codec.hpp"
+
+namespace dunlinwick::benchlink {
+namespace {
+
+std::vector<std::string_view> split(std::string_view text, char at) {
+  std::vector<std::string_view> parts;
+  while (!text.empty()) {
+    std::size_t end = text.find(at);
+    parts.push_back(text.substr(0, end));
+    text = end == text.npos ? std::string_view{} : text.substr(end + 1);
+  }
+  return parts;
+}
+
+class Facts {
+ public:
+  explicit Facts(std::string_view text) {
+    for (std::string_view line : split(text, '\n')) {
+      if (!line.empty() && line.back() == '\r') line.remove_suffix(1);
+      std::size_t eq = line.find('=');
+      if (eq != line.npos) byKey_[std::string(line.substr(0, eq))] = line.substr(eq + 1);
+    }
+  }
+  std::string_view need(const std::string& key) const {
+    auto at = byKey_.find(key);
+    if (at == byKey_.end()) throw WireFault("setting missing: " + key);
+    return at->second;
+  }
+  bool has(const std::string& key) const { return byKey_.count(key) != 0; }
+  double number(const std::string& key) const { return toNumber(key, need(key)); }
+  double number(const std::string& key, double absent) const { return has(key) ? number(key) : absent; }
+  int whole(const std::string& key, double low, double high) const {
+    return toWhole(key, number(key), low, high);
+  }
+  bool flag(const std::string& key, bool absent) const { return has(key) ? toFlag(key, need(key)) : absent; }
+  std::vector<double> numbers(const std::string& key) const {
+    std::vector<double> all;
+    if (has(key))
+      for (std::string_view v : split(need(key), ',')) all.push_back(toNumber(key, v));
+    return all;
+  }
+  std::vector<bool> flags(const std::string& key) const {
+    std::vector<bool> all;
+    if (has(key))
+      for (std::string_view v : split(need(key), ',')) all.push_back(toFlag(key, v));
+    return all;
+  }
+  template <class T>
+  T choice(const std::string& key, T absent, std::initializer_list<std::pair<std::string_view, T>> known) const {
+    if (!has(key)) return absent;
+    for (auto& [word, value] : known)
+      if (word == need(key)) return value;
+    throw WireFault("setting unreadable: " + key);
+  }
+  static int toWhole(const std::string& key, double v, double low, double high) {
+    if (!(v >= low && v <= high)) throw WireFault("setting unreadable: " + key);
+    return static_cast<int>(v);
+  }
+
+ private:
+  static double toNumber(const std::string& key, std::string_view text) {
+    double v = 0;
+    auto [end, fault] = std::from_chars(text.data(), text.data() + text.size(), v);
+    if (fault != std::errc{} || end != text.data() + text.size() || !std::isfinite(v))
+      throw WireFault("setting unreadable: " + key);
+    return v;
+  }
+  static bool toFlag(const std::string& key, std::string_view text) {
+    if (text == "true") return true;
+    if (text == "false") return false;
+    throw WireFault("setting unreadable: " + key);
+  }
+  std::map<std::string, std::string_view, std::less<>> byKey_;
+};
+
+}  // namespace
+
+StoreSheet readFacts(std::string_view text) {
+  Facts f(text);
+  StoreSheet s;
+  std::vector<double> fresh = f.numbers("familyInfo.lifetimeByClass");
+  std::vector<bool> neverKept = f.flags("familyInfo.neverKept");
+  int count = f.whole("classes.count", 1, 255);
+  for (int i = 0; i < count; ++i) {
+    std::string at = "classes." + std::to_string(i) + ".";
+    std::size_t n = static_cast<std::size_t>(i);
+    Offering o;
+    o.effect = f.choice<Effect>(at + "idempotency", Effect::exclusive,
+                                {{"repeatable", Effect::rerunnable}, {"by_key", Effect::ticketed}, {"once", Effect::exclusive}});
+    o.span = f.choice<Span>(at + "group", Span::cell, {{"all", Span::everywhere}, {"zone", Span::zone}, {"cell", Span::cell}});
+    o.memory = f.number(at + "memorySpan", 0);
+    o.agreed = f.number(at + "aim");
+    o.agreedStretch = f.number(at + "aimStretch", 0);
+    o.expiry = f.number(at + "giveUp");
+    o.payoff = f.number(at + "importance", 1);
+    o.streams = f.flag(at + "stream", false);
+    o.freshFor = n < fresh.size() ? fresh[n] : 0;
+    o.neverKept = n < neverKept.size() && neverKept[n];
+    s.offerings.push_back(o);
+  }
+  s.zone = f.whole("zone", 0, 65535);
+  s.fronts = f.whole("balancers", 1, 65535);
+  for (double v : f.numbers("familyInfo.crewByZone"))
+    s.crewByZone.push_back(Facts::toWhole("familyInfo.crewByZone", v, 0, 65535));
+  s.parentKind = static_cast<int>(f.number("familyInfo.parentKind", -1));
+  s.originKind = static_cast<int>(f.number("familyInfo.sourceKind", -1));
+  s.asksForList = f.choice<bool>("discovery", false, {{"push", false}, {"ask", true}});
+  s.askWithin = f.number("obligations.askWithin", 0);
+  s.weighing = f.choice<Weighing>("weights", Weighing::none,
+                                  {{"none", Weighing::none}, {"nominal", Weighing::nominal}, {"rough", Weighing::rough}, {"live", Weighing::live}});
+  s.mayProbe = f.flag("limits.probing", false);
+  s.mayCancel = f.flag("limits.cancel", false);
+  s.mayDouble = f.flag("limits.mayDuplicate", false);
+  s.mayAdviseRetry = f.flag("limits.retryAfter", false);
+  s.mayJoin = f.flag("familyInfo.canJoin", false);
+  s.mayGoDirect = f.flag("familyInfo.direct", false);
+  s.longestRetryAfter = f.number("limits.maxRetryAfter", 0);
+  s.mostLegs = f.whole("limits.maxAttempts", 1, 255);
+  s.lateral = f.choice<Reach>("familyInfo.lateral", Reach::none,
+                              {{"none", Reach::none}, {"location", Reach::location}, {"any", Reach::any}});
+  s.detail = f.choice<Detail>("familyInfo.detail", Detail::none,
+                              {{"none", Detail::none}, {"hit", Detail::hit}, {"all", Detail::all}});
+  s.streamKbPerMs = f.number("familyInfo.streamKbPerS", 0) / 1000;
+  for (double v : f.numbers("familyInfo.pipeKbPerS")) s.linkKbPerMs.push_back(v / 1000);
+  s.purgeDone = f.number("familyInfo.purgeDone", 0);
+  s.coldFrom = f.number("obligations.coldFrom", 1);
+  s.coldFor = f.number("obligations.cold", 0);
+  s.coldMultiple = f.number("obligations.overloadFactor", 0);
+  s.coldWindow = f.number("obligations.fall", 0);
+  s.parentFrom = f.number("familyInfo.parentFloor", s.coldFrom);
+  s.parentColdFor = f.number("familyInfo.parentRamp", s.coldFor);
+  s.parentMultiple = f.number("familyInfo.parentFallMultiple", s.coldMultiple);
+  if (f.has("report.names"))
+    for (std::string_view name : split(f.need("report.names"), ',')) s.reportNames.emplace_back(name);
+  return s;
+}
+
+}  // namespace dunlinwick::benchlink
--- /dev/null
+++ b/src/logic.hpp
@@ -0,0 +1,147 @@
+// The interface of the decisions: what a front is told (events), what it may do (actions), and the sheet it
+// reads at start. Times are milliseconds with fractions, on a clock that only moves forward.
+#pragma once
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace dunlinwick {
+
+using Ms = double;
+
+enum class Effect { rerunnable, ticketed, exclusive };
+enum class Span { everywhere, zone, cell };  // which caches drop the repeats of a ticketed pull
+enum class Weighing { none, nominal, rough, live };
+enum class Reach { none, location, any };  // which caches may be the source of a fill
+enum class Detail { none, hit, all };
+
+struct Offering {
+  Effect effect = Effect::rerunnable;
+  Span span = Span::everywhere;
+  Ms memory = 0;  // how long the repeats of a ticketed pull are known
+  Ms agreed = 0;
+  double agreedStretch = 0;  // the agreed time grows by this multiple of the pull's own sending time
+  Ms expiry = 0;
+  double payoff = 1;
+  bool streams = false;
+  Ms freshFor = 0;  // 0: until purged
+  bool neverKept = false;
+};
+
+// What the deployment hands over at start. The module keeps figures derived from it, not the sheet.
+struct StoreSheet {
+  std::vector<Offering> offerings;
+  int zone = 0;
+  int fronts = 1;               // in all zones
+  std::vector<int> crewByZone;  // fronts serving each zone
+  int parentKind = -1, originKind = -1;
+  bool asksForList = false;  // list changes come only when asked for
+  Ms askWithin = 0;
+  Weighing weighing = Weighing::none;
+  bool mayProbe = false, mayCancel = false, mayDouble = false, mayAdviseRetry = false;
+  bool mayJoin = false, mayGoDirect = false;
+  Ms longestRetryAfter = 0;
+  int mostLegs = 1;
+  Reach lateral = Reach::none;
+  Detail detail = Detail::none;
+  double streamKbPerMs = 0;
+  std::vector<double> linkKbPerMs;  // by zone; 0: not told
+  Ms purgeDone = 0;
+  double coldFrom = 1, coldMultiple = 0;
+  Ms coldFor = 0, coldWindow = 0;
+  double parentFrom = 1, parentMultiple = 0;
+  Ms parentColdFor = 0;
+  std::vector<std::string> reportNames;
+};
+
+// ---- what happened
+enum class Listing { changes, whole, remembered, failed };
+enum class Standing { draining, gone, ready };
+struct ListEntry {
+  std::uint32_t cache = 0;
+  int zone = 0, kind = 0, cell = 0;
+  Standing standing = Standing::ready;
+  double weight = 1;
+  Ms startedAt = 0;  // 0: long ago
+};
+struct ListNews {
+  Listing listing = Listing::changes;
+  std::vector<ListEntry> entries;
+};
+struct PullCame {
+  std::uint32_t pull = 0;
+  int offering = 0;
+  std::uint64_t object = 0;
+  int part = 0, group = 0;
+  Ms ttl = 0;
+  double sizeKb = 0;  // 0: not told
+};
+enum class Ending { finished, error, full, timedOut, noConnection, broken, cancelled, moot, miss };
+enum class Remark { none, hit, filled, filledByOrigin, joined, aged, sourceRefused, sourceLost, sourceLacks,
+                    noFillPlace, originFailed };
+struct LegStarted {
+  std::uint32_t pull = 0, cache = 0;
+  int leg = 0;
+};
+struct LegEnded {
+  std::uint32_t pull = 0, cache = 0;
+  int leg = 0;
+  Ending ending = Ending::finished;
+  Ms took = 0;
+  bool final = false;
+  Remark remark = Remark::none;
+  Ms waited = 0;  // until the first byte of a fill came, or it failed
+  std::vector<float> report;
+};
+struct ClientLeft { std::uint32_t pull = 0; };
+struct WakeUp { std::uint64_t handle = 0; };
+struct ProbeEnded {
+  std::uint32_t cache = 0;
+  bool answered = false;
+  Ms took = 0;
+  std::vector<float> report;
+};
+struct Purged {
+  bool wholeGroup = false;
+  std::uint64_t object = 0;
+  int group = 0;
+  Ms ago = 0;
+};
+struct PeerSaid { std::uint32_t peer = 0; std::string text; };
+using Event = std::variant<ListNews, PullCame, LegStarted, LegEnded, ClientLeft, WakeUp, ProbeEnded, Purged,
+                           PeerSaid>;
+
+// ---- what is to be done
+struct SendLeg {
+  std::uint32_t pull = 0, cache = 0, source = 0;  // source == cache: no fill
+  bool join = false, renew = false;
+  int rank = 0;
+  Ms oldest = 0;    // 0: as old as the offering allows
+  Ms patience = 0;  // 0: till the client quits
+};
+struct CancelLeg { std::uint32_t pull = 0; int leg = 0; };
+struct DeclinePull { std::uint32_t pull = 0; Ms retryAfter = 0; };
+struct AbandonPull { std::uint32_t pull = 0; };
+struct WakeMe { Ms at = 0; std::uint64_t handle = 0; };
+struct ProbeCache { std::uint32_t cache = 0; };
+struct FollowList {};
+struct WriteLine { std::string text; };
+using Action = std::variant<SendLeg, CancelLeg, DeclinePull, AbandonPull, WakeMe, ProbeCache, FollowList,
+                            WriteLine>;
+
+class Router {
+ public:
+  Router(const StoreSheet& sheet, std::uint64_t seed);
+  ~Router();
+  Router(Router&&) noexcept;
+  // The one entry point: what happened at `now` in, what is to be done out, in order.
+  std::vector<Action> handle(Ms now, const Event& event);
+
+ private:
+  struct Mind;
+  std::unique_ptr<Mind> mind_;
+};
+
+}  // namespace dunlinwick
--- /dev/null
+++ b/tests/link_test.cpp
@@ -0,0 +1,2 @@
+#include <cassert>
+int main(){}
