--- a/src/benchlink/codec.cpp
+++ b/src/benchlink/codec.cpp
@@ -47,15 +47,24 @@
 
 static Ending endingOf(unsigned verdict) {
   switch (verdict) {
-    case 100: return Ending::finished;
-    case 101: return Ending::miss;
-    case 301: return Ending::error;
-    case 302: return Ending::full;
-    case 303: return Ending::timedOut;
-    case 304: return Ending::noConnection;
-    case 305: return Ending::broken;
-    case 306: return Ending::cancelled;
-    case 307: return Ending::moot;
+    case 100:
+      return Ending::finished;
+    case 101:
+      return Ending::miss;
+    case 301:
+      return Ending::error;
+    case 302:
+      return Ending::full;
+    case 303:
+      return Ending::timedOut;
+    case 304:
+      return Ending::noConnection;
+    case 305:
+      return Ending::broken;
+    case 306:
+      return Ending::cancelled;
+    case 307:
+      return Ending::moot;
   }
   throw WireFault("unknown outcome " + std::to_string(verdict));
 }
@@ -85,7 +94,8 @@
 
 Event readEvent(unsigned code, Reader& in) {
   switch (code) {
-    case 3: return WakeUp{in.u64()};
+    case 3:
+      return WakeUp{in.u64()};
     case 4: {
       ProbeEnded e;
       e.cache = in.u32();
@@ -137,8 +147,10 @@
       e.ago = in.f64();
       return e;
     }
-    case 9: return readList(in);
-    case 10: return ClientLeft{in.u32()};
+    case 9:
+      return readList(in);
+    case 10:
+      return ClientLeft{in.u32()};
     case 11: {
       PeerSaid e;
       e.peer = in.u32();
--- a/src/benchlink/facts.cpp
+++ b/src/benchlink/facts.cpp
@@ -53,7 +53,8 @@
     return all;
   }
   template <class T>
-  T choice(const std::string& key, T absent, std::initializer_list<std::pair<std::string_view, T>> known) const {
+  T choice(const std::string& key, T absent,
+           std::initializer_list<std::pair<std::string_view, T>> known) const {
     if (!has(key)) return absent;
     for (auto& [word, value] : known)
       if (word == need(key)) return value;
@@ -92,9 +93,11 @@
     std::string at = "classes." + std::to_string(i) + ".";
     std::size_t n = static_cast<std::size_t>(i);
     Offering o;
-    o.effect = f.choice<Effect>(at + "idempotency", Effect::exclusive,
-                                {{"repeatable", Effect::rerunnable}, {"by_key", Effect::ticketed}, {"once", Effect::exclusive}});
-    o.span = f.choice<Span>(at + "group", Span::cell, {{"all", Span::everywhere}, {"zone", Span::zone}, {"cell", Span::cell}});
+    o.effect = f.choice<Effect>(
+        at + "idempotency", Effect::exclusive,
+        {{"repeatable", Effect::rerunnable}, {"by_key", Effect::ticketed}, {"once", Effect::exclusive}});
+    o.span = f.choice<Span>(at + "group", Span::cell,
+                            {{"all", Span::everywhere}, {"zone", Span::zone}, {"cell", Span::cell}});
     o.memory = f.number(at + "memorySpan", 0);
     o.agreed = f.number(at + "aim");
     o.agreedStretch = f.number(at + "aimStretch", 0);
@@ -114,7 +117,10 @@
   s.asksForList = f.choice<bool>("discovery", false, {{"push", false}, {"ask", true}});
   s.askWithin = f.number("obligations.askWithin", 0);
   s.weighing = f.choice<Weighing>("weights", Weighing::none,
-                                  {{"none", Weighing::none}, {"nominal", Weighing::nominal}, {"rough", Weighing::rough}, {"live", Weighing::live}});
+                                  {{"none", Weighing::none},
+                                   {"nominal", Weighing::nominal},
+                                   {"rough", Weighing::rough},
+                                   {"live", Weighing::live}});
   s.mayProbe = f.flag("limits.probing", false);
   s.mayCancel = f.flag("limits.cancel", false);
   s.mayDouble = f.flag("limits.mayDuplicate", false);
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -1,8 +1,8 @@
-// All decisions of a dunlinwick front. Router::handle() is the one way in: it takes what happened at `now` and
-// returns what is to be done, in order. Its types stand in logic.hpp; docs/design.md says what follows the design
-// and where it departs. Nothing here reads a clock, does I/O, or knows a name.
-// Reading order: figures at start, machines, memory (rates, omega, ranks), purges, cold budgets, health,
-// cache choice, source choice, legs, and last the events.
+// All decisions of a dunlinwick front. Router::handle() is the one way in: it takes what happened at `now`
+// and returns what is to be done, in order. Its types stand in logic.hpp; docs/design.md says what follows
+// the design and where it departs. Nothing here reads a clock, does I/O, or knows a name. Reading order:
+// figures at start, machines, memory (rates, omega, ranks), purges, cold budgets, health, cache choice,
+// source choice, legs, and last the events.
 #include "logic.hpp"
 
 #include <algorithm>
@@ -53,9 +53,9 @@
   Standing standing = Standing::gone;
   double weight = 1;
   Ms startedAt = longAgo;
-  int held = 0;     // legs of ours that are out there
-  int feeding = 0;  // legs of ours that name it as their source
-  double room = 0;  // transfers it carries at full pace, as learnt
+  int held = 0;                             // legs of ours that are out there
+  int feeding = 0;                          // legs of ours that name it as their source
+  double room = 0;                          // transfers it carries at full pace, as learnt
   std::deque<std::pair<Ms, double>> spent;  // cold budget: emptied as the window passes
   int strikes = 0, answers = 0;
   bool aside = false, trialOut = false;
@@ -93,7 +93,9 @@
   Ms waitUntil = 0;
   std::vector<Leg> legs;
   std::vector<Machine*> failed;  // caches and sources that failed this pull
-  bool hasFailed(const Machine* m) const { return std::find(failed.begin(), failed.end(), m) != failed.end(); }
+  bool hasFailed(const Machine* m) const {
+    return std::find(failed.begin(), failed.end(), m) != failed.end();
+  }
   int legsOut() const {
     return static_cast<int>(std::count_if(legs.begin(), legs.end(), [](const Leg& l) { return l.out; }));
   }
@@ -104,8 +106,6 @@
 }  // namespace
 
 struct Router::Mind {
-  Mind(const StoreSheet& sheet, std::uint64_t seed);
-
   // ---- figures derived at start
   std::vector<Ware> wares;
   int zone, crew, fronts, parentKind, originKind, mostLegs;
@@ -132,612 +132,578 @@
   bool asked = false;
 
   void act(Action a) { todo->push_back(std::move(a)); }
-  void say(const char* what, const Machine& m);
-
-  // machines
-  void takeList(const ListNews& news);
-  void takeEntry(const ListEntry& e);
-  const ColdTerms* coldTerms(const Machine& m) const;
-  double warmth(const Machine& m) const;
   double weightNow(const Machine& m) const { return m.weight * warmth(m); }
-  std::vector<Machine*> inOrder(const std::vector<Machine*>& from, std::uint64_t object) const;
-  // memory
-  Memory* recall(std::uint64_t object, int part);
-  void learnOmega(const Pull& p, const Leg& leg, bool hit);
-  int rankOf(const Pull& p) const;
-  // purges
-  void takePurge(const Purged& e);
-  Ms purgedAt(const Pull& p) const;
-  Ms oldest(const Pull& p) const;
-  // cold budgets
-  double carries(const Machine& m) const;
-  bool affords(Machine& m, Ms work);
-  void charge(Machine& m, Ms work);
-  // health
-  bool usable(const Machine& m) const;
-  void strike(Machine& m, int by);
-  void absolve(Machine& m);
-  void tryAgain(Machine& m);
-  void probed(const ProbeEnded& e);
-  void learnRoom(Machine& m, const Pull& p, const Leg& leg, Ms took);
-  // choices
-  double level(const Machine& m) const;
-  double bearable(const Pull& p) const;
-  bool mayGo(const Pull& p, const Machine& m) const;
-  Machine* chooseStore(Pull& p, bool& crowded);
-  Machine* chooseSource(Pull& p, const Machine* at);
-  // legs
-  void arrive(const PullCame& e);
-  void send(Pull& p, Machine& at, Machine* source);
-  bool sendNext(Pull& p, bool second);
-  void tend(Pull& p);
-  void giveUp(Pull& p, Ms retryAfter);
-  void finish(Pull& p);
-  void legEnded(const LegEnded& e);
-  void blame(Pull& p, Leg& leg, const LegEnded& e);
-  void forget(Pull& p);
-  void wake(const WakeUp& e);
-};
 
-Router::Mind::Mind(const StoreSheet& s, std::uint64_t seed) : chance(seed) {
-  for (const Offering& o : s.offerings) {
-    Ware w;
-    w.terms = o;
-    w.meanSending = o.expiry / 16;  // a guess on the long side; the first pulls seen replace it
-    w.omega = 5 * second;           // the design starts it at a few seconds
-    wares.push_back(w);
-  }
-  zone = s.zone;
-  fronts = std::max(1, s.fronts);
-  bool crewTold = zone < static_cast<int>(s.crewByZone.size());
-  crew = std::max(1, crewTold ? s.crewByZone[static_cast<std::size_t>(zone)] : fronts);
-  parentKind = s.parentKind;
-  originKind = s.originKind;
-  mostLegs = s.mostLegs;
-  asksForList = s.asksForList;
-  mayProbe = s.mayProbe;
-  mayCancel = s.mayCancel;
-  mayDouble = s.mayDouble;
-  mayJoin = s.mayJoin;
-  mayGoDirect = s.mayGoDirect;
-  lateral = s.lateral != Reach::none;
-  // Live weights change from list to list, and a home must not: they count as absent.
-  weighed = s.weighing == Weighing::nominal || s.weighing == Weighing::rough;
-  tellsFills = s.detail != Detail::none;
-  retryLimit = s.mayAdviseRetry ? s.longestRetryAfter : 0;
-  purgeKept = 2 * s.purgeDone;  // twice: a fill under way may lay down an old copy late; the cap then costs nothing
-  coldWindow = s.coldWindow;
-  streamKbPerMs = s.streamKbPerMs;
-  bool linkTold = zone < static_cast<int>(s.linkKbPerMs.size()) && streamKbPerMs > 0;
-  linkRoom = linkTold ? s.linkKbPerMs[static_cast<std::size_t>(zone)] / streamKbPerMs : 0;
-  coldStore = {s.coldFrom, s.coldMultiple, s.coldFor, 1.0 / crew};
-  coldParent = {s.parentFrom, s.parentMultiple, s.parentColdFor, 1.0 / fronts};
-}
+  Mind(const StoreSheet& s, std::uint64_t seed) : chance(seed) {
+    for (const Offering& o : s.offerings) {
+      Ware w;
+      w.terms = o;
+      w.meanSending = o.expiry / 16;  // a guess on the long side; the first pulls seen replace it
+      w.omega = 5 * second;           // the design starts it at a few seconds
+      wares.push_back(w);
+    }
+    zone = s.zone;
+    fronts = std::max(1, s.fronts);
+    bool crewTold = zone < static_cast<int>(s.crewByZone.size());
+    crew = std::max(1, crewTold ? s.crewByZone[static_cast<std::size_t>(zone)] : fronts);
+    parentKind = s.parentKind;
+    originKind = s.originKind;
+    mostLegs = s.mostLegs;
+    asksForList = s.asksForList;
+    mayProbe = s.mayProbe;
+    mayCancel = s.mayCancel;
+    mayDouble = s.mayDouble;
+    mayJoin = s.mayJoin;
+    mayGoDirect = s.mayGoDirect;
+    lateral = s.lateral != Reach::none;
+    // Live weights change from list to list, and a home must not: they count as absent.
+    weighed = s.weighing == Weighing::nominal || s.weighing == Weighing::rough;
+    tellsFills = s.detail != Detail::none;
+    retryLimit = s.mayAdviseRetry ? s.longestRetryAfter : 0;
+    purgeKept =
+        2 * s.purgeDone;  // twice: a fill under way may lay down an old copy late; the cap then costs nothing
+    coldWindow = s.coldWindow;
+    streamKbPerMs = s.streamKbPerMs;
+    bool linkTold = zone < static_cast<int>(s.linkKbPerMs.size()) && streamKbPerMs > 0;
+    linkRoom = linkTold ? s.linkKbPerMs[static_cast<std::size_t>(zone)] / streamKbPerMs : 0;
+    coldStore = {s.coldFrom, s.coldMultiple, s.coldFor, 1.0 / crew};
+    coldParent = {s.parentFrom, s.parentMultiple, s.parentColdFor, 1.0 / fronts};
+  }
 
-void Router::Mind::say(const char* what, const Machine& m) {
-  if (linesLeft-- <= 0) return;
-  static const char* const roles[] = {"cache", "parent", "origin", "machine"};
-  char line[120];
-  std::snprintf(line, sizeof line, "%s %u %s: strikes %d, legs %d, room %.1f", roles[static_cast<int>(m.role)],
-                m.id, what, m.strikes, m.held, m.room);
-  act(WriteLine{line});
-}
+  void say(const char* what, const Machine& m) {
+    if (linesLeft-- <= 0) return;
+    static const char* const roles[] = {"cache", "parent", "origin", "machine"};
+    char line[120];
+    std::snprintf(line, sizeof line, "%s %u %s: strikes %d, legs %d, room %.1f",
+                  roles[static_cast<int>(m.role)], m.id, what, m.strikes, m.held, m.room);
+    act(WriteLine{line});
+  }
+
+  // ---- machines: the list, warmth, and the hash
 
-// ---- machines: the list, warmth, and the hash
-
-void Router::Mind::takeList(const ListNews& news) {
-  if (news.listing == Listing::failed) {
-    act(WakeMe{now + second, wakeList << 56});  // ask again soon: the old list stays, and ages
-    return;
-  }
-  if (news.listing != Listing::changes)
-    for (auto& [id, m] : machines) m.standing = Standing::gone;  // one that a full list lacks has left
-  for (const ListEntry& e : news.entries) takeEntry(e);
-  stores.clear();
-  parents.clear();
-  origin = nullptr;
-  for (auto& [id, m] : machines) {
-    if (m.standing == Standing::gone) continue;
-    if (m.role == Role::store) stores.push_back(&m);
-    if (m.role == Role::parent) parents.push_back(&m);
-    if (m.role == Role::origin && (!origin || m.standing == Standing::ready)) origin = &m;
+  void takeList(const ListNews& news) {
+    if (news.listing == Listing::failed) {
+      act(WakeMe{now + second, wakeList << 56});  // ask again soon: the old list stays, and ages
+      return;
+    }
+    if (news.listing != Listing::changes)
+      for (auto& [id, m] : machines) m.standing = Standing::gone;  // one that a full list lacks has left
+    for (const ListEntry& e : news.entries) takeEntry(e);
+    stores.clear();
+    parents.clear();
+    origin = nullptr;
+    for (auto& [id, m] : machines) {
+      if (m.standing == Standing::gone) continue;
+      if (m.role == Role::store) stores.push_back(&m);
+      if (m.role == Role::parent) parents.push_back(&m);
+      if (m.role == Role::origin && (!origin || m.standing == Standing::ready)) origin = &m;
+    }
   }
-}
 
-void Router::Mind::takeEntry(const ListEntry& e) {
-  Machine& m = machines[e.cache];
-  m.id = e.cache;
-  m.zone = e.zone;
-  m.kind = e.kind;
-  m.cell = e.cell;
-  m.role = e.kind == originKind   ? Role::origin
-           : e.kind == parentKind ? Role::parent
-           : e.zone == zone       ? Role::store
-                                  : Role::foreign;
-  m.standing = e.standing;
-  m.weight = weighed && e.weight > 0 ? e.weight : 1;
-  Ms started = e.startedAt > 0 ? e.startedAt : longAgo;
-  if (started > m.startedAt) {  // a new start: what was known of the old process is void
-    m.startedAt = started;
-    m.strikes = 0;
-    m.aside = m.trialOut = false;
-    m.room = 0;
+  void takeEntry(const ListEntry& e) {
+    Machine& m = machines[e.cache];
+    m.id = e.cache;
+    m.zone = e.zone;
+    m.kind = e.kind;
+    m.cell = e.cell;
+    m.role = e.kind == originKind   ? Role::origin
+             : e.kind == parentKind ? Role::parent
+             : e.zone == zone       ? Role::store
+                                    : Role::foreign;
+    m.standing = e.standing;
+    m.weight = weighed && e.weight > 0 ? e.weight : 1;
+    Ms started = e.startedAt > 0 ? e.startedAt : longAgo;
+    if (started > m.startedAt) {  // a new start: what was known of the old process is void
+      m.startedAt = started;
+      m.strikes = 0;
+      m.aside = m.trialOut = false;
+      m.room = 0;
+    }
+    // Weights absent: four transfers, a small machine's worth; crowded and uncrowded answers correct it.
+    if (m.room <= 0) m.room = weighed ? m.weight : 4;
   }
-  // Weights absent: four transfers, a small machine's worth; crowded and uncrowded answers correct it.
-  if (m.room <= 0) m.room = weighed ? m.weight : 4;
-}
 
-const ColdTerms* Router::Mind::coldTerms(const Machine& m) const {
-  if (m.role == Role::origin || m.startedAt == longAgo) return nullptr;
-  const ColdTerms& t = m.role == Role::parent ? coldParent : coldStore;
-  return now - m.startedAt < t.lasts ? &t : nullptr;
-}
+  const ColdTerms* coldTerms(const Machine& m) const {
+    if (m.role == Role::origin || m.startedAt == longAgo) return nullptr;
+    const ColdTerms& t = m.role == Role::parent ? coldParent : coldStore;
+    return now - m.startedAt < t.lasts ? &t : nullptr;
+  }
 
-double Router::Mind::warmth(const Machine& m) const {
-  const ColdTerms* t = coldTerms(m);
-  return t ? t->from + (1 - t->from) * std::max(0.0, now - m.startedAt) / t->lasts : 1;
-}
+  double warmth(const Machine& m) const {
+    const ColdTerms* t = coldTerms(m);
+    return t ? t->from + (1 - t->from) * std::max(0.0, now - m.startedAt) / t->lasts : 1;
+  }
 
-// Weighted rendezvous hash: every front comes to the same order. A cold machine's weight grows with its warmth,
-// so that its objects come home in step with what it can carry.
-std::vector<Machine*> Router::Mind::inOrder(const std::vector<Machine*>& from, std::uint64_t object) const {
-  std::vector<std::pair<double, Machine*>> scored;
-  for (Machine* m : from) {
-    std::uint64_t h = mixed(mixed(object) ^ mixed(m->id + (std::uint64_t{m->role == Role::parent} << 40)));
-    double u = (static_cast<double>(h >> 11) + 0.5) * 0x1p-53;
-    scored.emplace_back(-std::log(u) / weightNow(*m), m);
-  }
-  std::sort(scored.begin(), scored.end(), [](auto& a, auto& b) {
-    return a.first != b.first ? a.first < b.first : a.second->id < b.second->id;
-  });
-  std::vector<Machine*> order;
-  for (auto& [score, m] : scored) order.push_back(m);
-  return order;
-}
+  // Weighted rendezvous hash: every front comes to the same order. A cold machine's weight grows with its
+  // warmth, so that its objects come home in step with what it can carry.
+  std::vector<Machine*> inOrder(const std::vector<Machine*>& from, std::uint64_t object) const {
+    std::vector<std::pair<double, Machine*>> scored;
+    for (Machine* m : from) {
+      std::uint64_t h = mixed(mixed(object) ^ mixed(m->id + (std::uint64_t{m->role == Role::parent} << 40)));
+      double u = (static_cast<double>(h >> 11) + 0.5) * 0x1p-53;
+      scored.emplace_back(-std::log(u) / weightNow(*m), m);
+    }
+    std::sort(scored.begin(), scored.end(), [](auto& a, auto& b) {
+      return a.first != b.first ? a.first < b.first : a.second->id < b.second->id;
+    });
+    std::vector<Machine*> order;
+    for (auto& [score, m] : scored) order.push_back(m);
+    return order;
+  }
 
-// ---- memory: rates, omega, ranks (the design's ordinary path)
+  // ---- memory: rates, omega, ranks (the design's ordinary path)
 
-// Pulls are counted with this time constant: long beside any idle window, short beside a change of fashion.
-constexpr Ms countAgeing = 30 * second;
+  // Pulls are counted with this time constant: long beside any idle window, short beside a change of fashion.
+  static constexpr Ms countAgeing = 30 * second;
 
-Memory* Router::Mind::recall(std::uint64_t object, int part) {
-  constexpr std::size_t mostMemories = 1 << 16;  // some minutes of a busy front's different parts
-  std::uint64_t key = mixed(object) + static_cast<std::uint64_t>(part);
-  auto found = memoryAt.find(key);
-  if (found != memoryAt.end()) {
-    memories.splice(memories.end(), memories, found->second);
-    return &*found->second;
-  }
-  if (memories.size() >= mostMemories && memories.front().pins == 0) {
-    memoryAt.erase(memories.front().key);
-    memories.pop_front();
+  Memory* recall(std::uint64_t object, int part) {
+    constexpr std::size_t mostMemories = 1 << 16;  // some minutes of a busy front's different parts
+    std::uint64_t key = mixed(object) + static_cast<std::uint64_t>(part);
+    auto found = memoryAt.find(key);
+    if (found != memoryAt.end()) {
+      memories.splice(memories.end(), memories, found->second);
+      return &*found->second;
+    }
+    if (memories.size() >= mostMemories && memories.front().pins == 0) {
+      memoryAt.erase(memories.front().key);
+      memories.pop_front();
+    }
+    memories.push_back({});
+    memories.back().key = key;
+    memoryAt[key] = std::prev(memories.end());
+    return &memories.back();
   }
-  memories.push_back({});
-  memories.back().key = key;
-  memoryAt[key] = std::prev(memories.end());
-  return &memories.back();
-}
 
-// Omega settles where as many answers miss below it as hit above it: the gap below which most answers hit.
-// Departure (weak spot of the design): nothing is learnt from a cache that started lately, from purged objects, or
-// from a cache other than the one that finished the part last; where copies age out, omega stays within their
-// fresh time. Else a deploy's cold misses would cut omega at all fronts at once.
-void Router::Mind::learnOmega(const Pull& p, const Leg& leg, bool hit) {
-  constexpr double step = 0.02;  // about fifty answers move it by e: seconds of traffic, not single surprises
-  Ware& w = *p.ware;
-  if (leg.at != p.lastAt || p.gap <= 0 || purgedAt(p) > longAgo) return;
-  const ColdTerms& t = coldStore;
-  if (now - leg.at->startedAt < t.lasts + p.gap) return;
-  if (hit && p.gap > w.omega) w.omega *= 1 + step;
-  if (!hit && p.gap < w.omega) w.omega *= 1 - step;
-  Ms most = w.terms.freshFor > 0 ? w.terms.freshFor : 4 * countAgeing;
-  w.omega = std::clamp(w.omega, second / 2, most);
-}
-
-int Router::Mind::rankOf(const Pull& p) const {
-  double lambda = p.memory->count / countAgeing * crew;
-  double held = 1 - std::exp(-lambda * p.ware->omega);
-  return held > 2.0 / 3 ? 3 : held > 1.0 / 3 ? 2 : 1;  // three ranks, even thirds of the held chance
-}
+  // Omega settles where as many answers miss below it as hit above it: the gap below which most answers hit.
+  // Departure (weak spot of the design): nothing is learnt from a cache that started lately, from purged
+  // objects, or from a cache other than the one that finished the part last; where copies age out, omega
+  // stays within their fresh time. Else a deploy's cold misses would cut omega at all fronts at once.
+  void learnOmega(const Pull& p, const Leg& leg, bool hit) {
+    constexpr double step =
+        0.02;  // about fifty answers move it by e: seconds of traffic, not single surprises
+    Ware& w = *p.ware;
+    if (leg.at != p.lastAt || p.gap <= 0 || purgedAt(p) > longAgo) return;
+    const ColdTerms& t = coldStore;
+    if (now - leg.at->startedAt < t.lasts + p.gap) return;
+    if (hit && p.gap > w.omega) w.omega *= 1 + step;
+    if (!hit && p.gap < w.omega) w.omega *= 1 - step;
+    Ms most = w.terms.freshFor > 0 ? w.terms.freshFor : 4 * countAgeing;
+    w.omega = std::clamp(w.omega, second / 2, most);
+  }
 
-// ---- purges
+  int rankOf(const Pull& p) const {
+    double lambda = p.memory->count / countAgeing * crew;
+    double held = 1 - std::exp(-lambda * p.ware->omega);
+    return held > 2.0 / 3 ? 3 : held > 1.0 / 3 ? 2 : 1;  // three ranks, even thirds of the held chance
+  }
 
-void Router::Mind::takePurge(const Purged& e) {
-  std::uint64_t key = e.wholeGroup ? ~static_cast<std::uint64_t>(e.group) : e.object;
-  Ms at = now - e.ago;
-  Ms& known = purges.try_emplace(key, longAgo).first->second;
-  known = std::max(known, at);
-  purgeOrder.emplace_back(now, key);
-  while (!purgeOrder.empty() && purgeOrder.front().first < now - purgeKept) {
-    auto old = purges.find(purgeOrder.front().second);
-    if (old != purges.end() && old->second < now - purgeKept) purges.erase(old);
-    purgeOrder.pop_front();
+  // ---- purges
+
+  void takePurge(const Purged& e) {
+    std::uint64_t key = e.wholeGroup ? ~static_cast<std::uint64_t>(e.group) : e.object;
+    Ms at = now - e.ago;
+    Ms& known = purges.try_emplace(key, longAgo).first->second;
+    known = std::max(known, at);
+    purgeOrder.emplace_back(now, key);
+    while (!purgeOrder.empty() && purgeOrder.front().first < now - purgeKept) {
+      auto old = purges.find(purgeOrder.front().second);
+      if (old != purges.end() && old->second < now - purgeKept) purges.erase(old);
+      purgeOrder.pop_front();
+    }
   }
-}
 
-Ms Router::Mind::purgedAt(const Pull& p) const {
-  Ms latest = longAgo;
-  for (std::uint64_t key : {p.object, ~static_cast<std::uint64_t>(p.group)}) {
-    auto at = purges.find(key);
-    if (at != purges.end() && at->second > now - purgeKept) latest = std::max(latest, at->second);
+  Ms purgedAt(const Pull& p) const {
+    Ms latest = longAgo;
+    for (std::uint64_t key : {p.object, ~static_cast<std::uint64_t>(p.group)}) {
+      auto at = purges.find(key);
+      if (at != purges.end() && at->second > now - purgeKept) latest = std::max(latest, at->second);
+    }
+    return latest;
   }
-  return latest;
-}
 
-// The age asked for, 0 where the offering's own limit will do. After a purge: at most the time since it, less one
-// millisecond against rounding, and never 0, which would lift the cap.
-Ms Router::Mind::oldest(const Pull& p) const {
-  Ms purge = purgedAt(p);
-  if (purge == longAgo) return 0;
-  Ms since = std::max(now - purge - 1, 0.001);
-  return p.ware->terms.freshFor > 0 ? std::min(since, p.ware->terms.freshFor) : since;
-}
+  // The age asked for, 0 where the offering's own limit will do. After a purge: at most the time since it,
+  // less one millisecond against rounding, and never 0, which would lift the cap.
+  Ms oldest(const Pull& p) const {
+    Ms purge = purgedAt(p);
+    if (purge == longAgo) return 0;
+    Ms since = std::max(now - purge - 1, 0.001);
+    return p.ware->terms.freshFor > 0 ? std::min(since, p.ware->terms.freshFor) : since;
+  }
 
-// ---- cold budgets: what a machine that started lately may be sent
+  // ---- cold budgets: what a machine that started lately may be sent
 
-// Transfers that a warm machine of its like carries, on the low side.
-double Router::Mind::carries(const Machine& m) const {
-  if (weighed) return m.weight;
-  double least = 0;
-  int like = 0;
-  for (const Machine* other : m.role == Role::parent ? parents : stores)
-    if (other != &m && other->kind == m.kind && !coldTerms(*other)) {
-      least = like++ ? std::min(least, other->room) : other->room;
-    }
-  return like ? least : m.room;
-}
+  // Transfers that a warm machine of its like carries, on the low side.
+  double carries(const Machine& m) const {
+    if (weighed) return m.weight;
+    double least = 0;
+    int like = 0;
+    for (const Machine* other : m.role == Role::parent ? parents : stores)
+      if (other != &m && other->kind == m.kind && !coldTerms(*other)) {
+        least = like++ ? std::min(least, other->room) : other->room;
+      }
+    return like ? least : m.room;
+  }
 
-// The rule counts work over every window of the stated length. Half of this front's share is used: registered
-// sizes and sending times are estimates, and other fronts' pulls bunch.
-bool Router::Mind::affords(Machine& m, Ms work) {
-  constexpr double prudence = 0.5;
-  const ColdTerms* t = coldTerms(m);
-  if (!t || t->multiple <= 0 || coldWindow <= 0) return true;
-  while (!m.spent.empty() && m.spent.front().first < now - coldWindow) m.spent.pop_front();
-  double sum = work;
-  for (auto& [at, w] : m.spent) sum += w;
-  return sum <= prudence * t->share * t->multiple * carries(m) * warmth(m) * coldWindow;
-}
+  // The rule counts work over every window of the stated length. Half of this front's share is used:
+  // registered sizes and sending times are estimates, and other fronts' pulls bunch.
+  bool affords(Machine& m, Ms work) {
+    constexpr double prudence = 0.5;
+    const ColdTerms* t = coldTerms(m);
+    if (!t || t->multiple <= 0 || coldWindow <= 0) return true;
+    while (!m.spent.empty() && m.spent.front().first < now - coldWindow) m.spent.pop_front();
+    double sum = work;
+    for (auto& [at, w] : m.spent) sum += w;
+    return sum <= prudence * t->share * t->multiple * carries(m) * warmth(m) * coldWindow;
+  }
 
-void Router::Mind::charge(Machine& m, Ms work) {
-  if (coldTerms(m)) m.spent.emplace_back(now, work);
-  else m.spent.clear();
-}
+  void charge(Machine& m, Ms work) {
+    if (coldTerms(m)) m.spent.emplace_back(now, work);
+    else m.spent.clear();
+  }
 
-// ---- health
+  // ---- health
 
-bool Router::Mind::usable(const Machine& m) const {
-  if (m.standing != Standing::ready) return false;
-  if (!m.aside) return now >= m.fullUntil;
-  return !mayProbe && now >= m.asideUntil && !m.trialOut;  // without probes: one trial pull at a time
-}
+  bool usable(const Machine& m) const {
+    if (m.standing != Standing::ready) return false;
+    if (!m.aside) return now >= m.fullUntil;
+    return !mayProbe && now >= m.asideUntil && !m.trialOut;  // without probes: one trial pull at a time
+  }
 
-// Guards against whatever makes a machine fail legs in a row: a crash the list has not told, a refused port, a
-// break. Harm: a machine that only ran out of connections rests for a moment too.
-void Router::Mind::strike(Machine& m, int by) {
-  constexpr int limit = 2;                                       // one failure may be chance, two in a row are not
-  constexpr Ms firstPause = second / 4, longestPause = 4 * second;  // short beside the list's own delay
-  m.strikes += by;
-  m.answers = 0;
-  m.trialOut = false;
-  if (m.aside ? now < m.asideUntil : m.strikes < limit) return;
-  m.pause = m.aside ? std::min(2 * m.pause, longestPause) : firstPause;
-  if (!m.aside) say("set aside", m);
-  m.aside = true;
-  m.asideUntil = now + m.pause;
-  if (mayProbe) act(WakeMe{m.asideUntil, wakeMachine << 56 | m.id});
-}
+  // Guards against whatever makes a machine fail legs in a row: a crash the list has not told, a refused
+  // port, a break. Harm: a machine that only ran out of connections rests for a moment too.
+  void strike(Machine& m, int by) {
+    constexpr int limit = 2;  // one failure may be chance, two in a row are not
+    constexpr Ms firstPause = second / 4, longestPause = 4 * second;  // short beside the list's own delay
+    m.strikes += by;
+    m.answers = 0;
+    m.trialOut = false;
+    if (m.aside ? now < m.asideUntil : m.strikes < limit) return;
+    m.pause = m.aside ? std::min(2 * m.pause, longestPause) : firstPause;
+    if (!m.aside) say("set aside", m);
+    m.aside = true;
+    m.asideUntil = now + m.pause;
+    if (mayProbe) act(WakeMe{m.asideUntil, wakeMachine << 56 | m.id});
+  }
 
-void Router::Mind::absolve(Machine& m) {
-  m.strikes = 0;
-  if (!m.aside || (mayProbe && m.answers < 2)) return;  // with probes: back only after two answered
-  m.aside = m.trialOut = false;
-  say("is back", m);
-}
+  void absolve(Machine& m) {
+    m.strikes = 0;
+    if (!m.aside || (mayProbe && m.answers < 2)) return;  // with probes: back only after two answered
+    m.aside = m.trialOut = false;
+    say("is back", m);
+  }
 
-void Router::Mind::tryAgain(Machine& m) {
-  if (m.aside && m.standing == Standing::ready && affords(m, 1)) act(ProbeCache{m.id});
-  else if (m.aside) act(WakeMe{now + second, wakeMachine << 56 | m.id});
-}
+  void tryAgain(Machine& m) {
+    if (m.aside && m.standing == Standing::ready && affords(m, 1)) act(ProbeCache{m.id});
+    else if (m.aside) act(WakeMe{now + second, wakeMachine << 56 | m.id});
+  }
 
-void Router::Mind::probed(const ProbeEnded& e) {
-  auto at = machines.find(e.cache);
-  if (at == machines.end() || !at->second.aside) return;
-  Machine& m = at->second;
-  if (!e.answered) return strike(m, 1);
-  ++m.answers;
-  absolve(m);
-  if (m.aside) act(WakeMe{now + second / 10, wakeMachine << 56 | m.id});
-}
+  void probed(const ProbeEnded& e) {
+    auto at = machines.find(e.cache);
+    if (at == machines.end() || !at->second.aside) return;
+    Machine& m = at->second;
+    if (!e.answered) return strike(m, 1);
+    ++m.answers;
+    absolve(m);
+    if (m.aside) act(WakeMe{now + second / 10, wakeMachine << 56 | m.id});
+  }
 
-// Room: how many transfers a machine carries at full pace. A crowded answer shows it (held over stretch), an
-// uncrowded one shows that it is at least what was held. Guards against slow, pausing and overrated machines alike.
-void Router::Mind::learnRoom(Machine& m, const Pull& p, const Leg& leg, Ms took) {
-  constexpr Ms tooShort = 10;  // below, the way there outweighs the sending
-  constexpr Ms theWay = 5;     // connection and network inside a location, on the long side
-  Ms own = p.memory->sending > 0 ? p.memory->sending : streamKbPerMs > 0 ? p.sending : 0;
-  if (own < tooShort) return;
-  double stretch = std::max(1.0, (took - theWay) / own);
-  double held = std::max(1.0, 0.5 * crew * (leg.heldThen + m.held + 1));
-  if (stretch > 1.5) m.room += 0.1 * (std::min(held / stretch, 2 * m.room) - m.room);
-  else if (stretch < 1.25 && held > 0.5 * m.room) m.room = std::max(m.room * 1.02, std::min(held, 1.1 * m.room));
-  m.room = std::max(m.room, 0.25);
-}
+  // Room: how many transfers a machine carries at full pace. A crowded answer shows it (held over stretch),
+  // an uncrowded one shows that it is at least what was held. Guards against slow, pausing and overrated
+  // machines alike.
+  void learnRoom(Machine& m, const Pull& p, const Leg& leg, Ms took) {
+    constexpr Ms tooShort = 10;  // below, the way there outweighs the sending
+    constexpr Ms theWay = 5;     // connection and network inside a location, on the long side
+    Ms own = p.memory->sending > 0 ? p.memory->sending : streamKbPerMs > 0 ? p.sending : 0;
+    if (own < tooShort) return;
+    double stretch = std::max(1.0, (took - theWay) / own);
+    double held = std::max(1.0, 0.5 * crew * (leg.heldThen + m.held + 1));
+    if (stretch > 1.5) m.room += 0.1 * (std::min(held / stretch, 2 * m.room) - m.room);
+    else if (stretch < 1.25 && held > 0.5 * m.room)
+      m.room = std::max(m.room * 1.02, std::min(held, 1.1 * m.room));
+    m.room = std::max(m.room, 0.25);
+  }
 
-// ---- cache choice
+  // ---- cache choice
 
-// Transfers per transfer it can carry, with one more of ours.
-double Router::Mind::level(const Machine& m) const {
-  int ours = m.role == Role::store ? m.held : m.feeding;
-  int sharers = m.role == Role::store ? crew : fronts;
-  return (ours * sharers + 1) / (std::max(m.room, 0.25) * warmth(m));
-}
+  // Transfers per transfer it can carry, with one more of ours.
+  double level(const Machine& m) const {
+    int ours = m.role == Role::store ? m.held : m.feeding;
+    int sharers = m.role == Role::store ? crew : fronts;
+    return (ours * sharers + 1) / (std::max(m.room, 0.25) * warmth(m));
+  }
 
-// How crowded a machine may be for this pull: the better its payoff for its work, the more. In overload this
-// declines what pays least for its work, until the rest fits.
-double Router::Mind::bearable(const Pull& p) const {
-  double ratio = (p.ware->terms.payoff / std::max(p.sending, 1.0)) / (meanPayoff / std::max(meanWork, 1.0));
-  return std::clamp(2 * std::sqrt(ratio), 1.3, 5.0);  // at twice its pace a pull still meets its agreed time
-}
+  // How crowded a machine may be for this pull: the better its payoff for its work, the more. In overload
+  // this declines what pays least for its work, until the rest fits.
+  double bearable(const Pull& p) const {
+    double ratio = (p.ware->terms.payoff / std::max(p.sending, 1.0)) / (meanPayoff / std::max(meanWork, 1.0));
+    return std::clamp(2 * std::sqrt(ratio), 1.3,
+                      5.0);  // at twice its pace a pull still meets its agreed time
+  }
 
-// Rule 2: where a further leg of this pull may go.
-bool Router::Mind::mayGo(const Pull& p, const Machine& m) const {
-  const Offering& o = p.ware->terms;
-  for (const Leg& leg : p.legs) {
-    if (leg.neverRan) continue;
-    if (leg.out && !mayDouble) return false;
-    if (o.effect == Effect::exclusive) return false;
-    if (o.effect == Effect::rerunnable) continue;
-    if (now - leg.sentAt >= o.memory) return false;
-    if (o.span == Span::zone && m.zone != leg.at->zone) return false;
-    if (o.span == Span::cell && m.cell != leg.at->cell) return false;
-  }
-  return true;
-}
+  // Rule 2: where a further leg of this pull may go.
+  bool mayGo(const Pull& p, const Machine& m) const {
+    const Offering& o = p.ware->terms;
+    for (const Leg& leg : p.legs) {
+      if (leg.neverRan) continue;
+      if (leg.out && !mayDouble) return false;
+      if (o.effect == Effect::exclusive) return false;
+      if (o.effect == Effect::rerunnable) continue;
+      if (now - leg.sentAt >= o.memory) return false;
+      if (o.span == Span::zone && m.zone != leg.at->zone) return false;
+      if (o.span == Span::cell && m.cell != leg.at->cell) return false;
+    }
+    return true;
+  }
 
-// Home first, then on in hash order past what fails, is crowded beyond its peers, or is cold with its budget spent.
-Machine* Router::Mind::chooseStore(Pull& p, bool& crowded) {
-  std::vector<Machine*> open;
-  for (Machine* m : inOrder(stores, p.object))
-    if (usable(*m) && !p.hasFailed(m) && mayGo(p, *m) && affords(*m, p.ware->meanSending)) open.push_back(m);
-  crowded = false;
-  if (open.empty()) return nullptr;
-  double held = 0, room = 0;
-  Machine* least = open.front();
-  for (Machine* m : open) {
-    held += m->held * crew;
-    room += m->room * warmth(*m);
-    if (level(*m) < level(*least)) least = m;
-  }
-  // Bounded load: a quarter over the mean, and never moved on while it would still send at full pace.
-  double bound = std::max(1.25, 1.25 * (held + 1) / std::max(room, 0.25));
-  for (Machine* m : open)
-    if (level(*m) <= bound) {
-      least = m;
-      break;
+  // Home first, then on in hash order past what fails, is crowded beyond its peers, or is cold with its
+  // budget spent.
+  Machine* chooseStore(Pull& p, bool& crowded) {
+    std::vector<Machine*> open;
+    for (Machine* m : inOrder(stores, p.object))
+      if (usable(*m) && !p.hasFailed(m) && mayGo(p, *m) && affords(*m, p.ware->meanSending))
+        open.push_back(m);
+    crowded = false;
+    if (open.empty()) return nullptr;
+    double held = 0, room = 0;
+    Machine* least = open.front();
+    for (Machine* m : open) {
+      held += m->held * crew;
+      room += m->room * warmth(*m);
+      if (level(*m) < level(*least)) least = m;
     }
-  crowded = level(*least) > bearable(p);
-  return least;
-}
+    // Bounded load: a quarter over the mean, and never moved on while it would still send at full pace.
+    double bound = std::max(1.25, 1.25 * (held + 1) / std::max(room, 0.25));
+    for (Machine* m : open)
+      if (level(*m) <= bound) {
+        least = m;
+        break;
+      }
+    crowded = level(*least) > bearable(p);
+    return least;
+  }
 
-// ---- source choice
-
-// Where a miss is filled from: a cache of the location that finished the part within omega, when its home has
-// moved; else the object's parent, moving on in hash order; else the origin. nullptr: no fill.
-Machine* Router::Mind::chooseSource(Pull& p, const Machine* at) {
-  Ms work = p.ware->meanSending;
-  auto open = [&](Machine* m) { return usable(*m) && !p.hasFailed(m) && affords(*m, work); };
-  if (p.ware->terms.neverKept && origin && open(origin)) return origin;
-  if (lateral && !p.siblingLacked && p.lastAt && at && p.lastAt != at && p.lastAt->role == Role::store &&
-      p.gap < p.ware->omega && purgedAt(p) == longAgo && open(p.lastAt) && level(*p.lastAt) < 1.5)
-    return p.lastAt;
-  for (Machine* m : inOrder(parents, p.object))
-    if (open(m)) return m;
-  return origin && open(origin) ? origin : nullptr;
-}
+  // ---- source choice
+
+  // Where a miss is filled from: a cache of the location that finished the part within omega, when its home
+  // has moved; else the object's parent, moving on in hash order; else the origin. nullptr: no fill.
+  Machine* chooseSource(Pull& p, const Machine* at) {
+    Ms work = p.ware->meanSending;
+    auto open = [&](Machine* m) { return usable(*m) && !p.hasFailed(m) && affords(*m, work); };
+    if (p.ware->terms.neverKept && origin && open(origin)) return origin;
+    if (lateral && !p.siblingLacked && p.lastAt && at && p.lastAt != at && p.lastAt->role == Role::store &&
+        p.gap < p.ware->omega && purgedAt(p) == longAgo && open(p.lastAt) && level(*p.lastAt) < 1.5)
+      return p.lastAt;
+    for (Machine* m : inOrder(parents, p.object))
+      if (open(m)) return m;
+    return origin && open(origin) ? origin : nullptr;
+  }
 
-// ---- legs
-
-void Router::Mind::arrive(const PullCame& e) {
-  if (e.offering >= static_cast<int>(wares.size()) || pulls.count(e.pull)) return;
-  Pull& p = pulls[e.pull];
-  p.id = e.pull;
-  p.ware = &wares[static_cast<std::size_t>(e.offering)];
-  Ware& w = *p.ware;
-  p.object = e.object;
-  p.group = e.group;
-  p.cameAt = now;
-  p.expiresAt = now + e.ttl;
-  p.memory = recall(e.object, e.part);
-  Memory& m = *p.memory;
-  ++m.pins;
-  p.gap = m.lastPull > longAgo ? now - m.lastPull : 0;
-  m.count = m.count * (m.lastPull > longAgo ? std::exp(-p.gap / countAgeing) : 0) + 1;
-  m.lastPull = now;
-  p.lastAt = m.lastAt;
-  if (e.sizeKb > 0 && streamKbPerMs > 0) {
-    p.sending = e.sizeKb / streamKbPerMs;
-    w.meanSending += (p.sending - w.meanSending) * (w.sendingSeen ? 0.01 : 1);
-    w.sendingSeen = true;
-  } else {
-    p.sending = m.sending > 0 ? m.sending : w.meanSending;
-  }
-  p.agreedAt = now + std::min(w.terms.agreed + w.terms.agreedStretch * p.sending, w.terms.expiry);
-  p.rank = rankOf(p);
-  meanPayoff += 0.01 * (w.terms.payoff - meanPayoff);  // about the last hundred pulls
-  meanWork += 0.01 * (p.sending - meanWork);
-  secondLegs = std::min(secondLegs + 0.05, 10.0);  // one pull in twenty may have a second leg
-  constexpr Ms beforeExpiry = 4;                   // two ticks: the final answer goes out before the client leaves
-  act(WakeMe{std::max(now, p.expiresAt - beforeExpiry), wakePull << 56 | p.id});
-  tend(p);
-}
+  // ---- legs
+
+  void arrive(const PullCame& e) {
+    if (e.offering >= static_cast<int>(wares.size()) || pulls.count(e.pull)) return;
+    Pull& p = pulls[e.pull];
+    p.id = e.pull;
+    p.ware = &wares[static_cast<std::size_t>(e.offering)];
+    Ware& w = *p.ware;
+    p.object = e.object;
+    p.group = e.group;
+    p.cameAt = now;
+    p.expiresAt = now + e.ttl;
+    p.memory = recall(e.object, e.part);
+    Memory& m = *p.memory;
+    ++m.pins;
+    p.gap = m.lastPull > longAgo ? now - m.lastPull : 0;
+    m.count = m.count * (m.lastPull > longAgo ? std::exp(-p.gap / countAgeing) : 0) + 1;
+    m.lastPull = now;
+    p.lastAt = m.lastAt;
+    if (e.sizeKb > 0 && streamKbPerMs > 0) {
+      p.sending = e.sizeKb / streamKbPerMs;
+      w.meanSending += (p.sending - w.meanSending) * (w.sendingSeen ? 0.01 : 1);
+      w.sendingSeen = true;
+    } else {
+      p.sending = m.sending > 0 ? m.sending : w.meanSending;
+    }
+    p.agreedAt = now + std::min(w.terms.agreed + w.terms.agreedStretch * p.sending, w.terms.expiry);
+    p.rank = rankOf(p);
+    meanPayoff += 0.01 * (w.terms.payoff - meanPayoff);  // about the last hundred pulls
+    meanWork += 0.01 * (p.sending - meanWork);
+    secondLegs = std::min(secondLegs + 0.05, 10.0);  // one pull in twenty may have a second leg
+    constexpr Ms beforeExpiry = 4;  // two ticks: the final answer goes out before the client leaves
+    act(WakeMe{std::max(now, p.expiresAt - beforeExpiry), wakePull << 56 | p.id});
+    tend(p);
+  }
 
-void Router::Mind::send(Pull& p, Machine& at, Machine* source) {
-  Ms work = p.ware->meanSending;
-  Leg leg;
-  leg.at = &at;
-  leg.source = source == &at ? nullptr : source;
-  leg.sentAt = now;
-  leg.heldThen = at.held++;
-  leg.mayFill = leg.source && leg.source->role != Role::store;
-  charge(at, work);
-  if (at.aside) at.trialOut = true;
-  if (leg.source) {
-    ++leg.source->feeding;
-    charge(*leg.source, work);
-    if (leg.source->aside) leg.source->trialOut = true;
-  }
-  SendLeg a;
-  a.pull = p.id;
-  a.cache = at.id;
-  a.source = source ? source->id : at.id;
-  a.join = mayJoin;
-  a.renew = p.ware->terms.freshFor > 0;
-  a.rank = p.rank;
-  a.oldest = oldest(p);
-  a.patience = std::max(1.0, p.expiresAt - now);
-  act(a);
-  p.legs.push_back(leg);
-}
+  void send(Pull& p, Machine& at, Machine* source) {
+    Ms work = p.ware->meanSending;
+    Leg leg;
+    leg.at = &at;
+    leg.source = source == &at ? nullptr : source;
+    leg.sentAt = now;
+    leg.heldThen = at.held++;
+    leg.mayFill = leg.source && leg.source->role != Role::store;
+    charge(at, work);
+    if (at.aside) at.trialOut = true;
+    if (leg.source) {
+      ++leg.source->feeding;
+      charge(*leg.source, work);
+      if (leg.source->aside) leg.source->trialOut = true;
+    }
+    SendLeg a;
+    a.pull = p.id;
+    a.cache = at.id;
+    a.source = source ? source->id : at.id;
+    a.join = mayJoin;
+    a.renew = p.ware->terms.freshFor > 0;
+    a.rank = p.rank;
+    a.oldest = oldest(p);
+    a.patience = std::max(1.0, p.expiresAt - now);
+    act(a);
+    p.legs.push_back(leg);
+  }
 
-bool Router::Mind::sendNext(Pull& p, bool second) {
-  if (static_cast<int>(p.legs.size()) >= mostLegs) return false;
-  if (p.ware->terms.neverKept && mayGoDirect && origin && usable(*origin) && !p.hasFailed(origin) &&
-      mayGo(p, *origin))
-    return send(p, *origin, origin), true;
-  bool crowded = false;
-  if (Machine* at = chooseStore(p, crowded)) {
-    if (crowded) return false;
-    return send(p, *at, chooseSource(p, at)), true;
-  }
-  if (second || !mayGoDirect) return false;
-  // No cache of the location takes it: straight to its parent, or to the origin.
-  Machine* source = chooseSource(p, nullptr);
-  if (!source || source->role == Role::store || !mayGo(p, *source)) return false;
-  return send(p, *source, source), true;
-}
+  bool sendNext(Pull& p, bool second) {
+    if (static_cast<int>(p.legs.size()) >= mostLegs) return false;
+    if (p.ware->terms.neverKept && mayGoDirect && origin && usable(*origin) && !p.hasFailed(origin) &&
+        mayGo(p, *origin))
+      return send(p, *origin, origin), true;
+    bool crowded = false;
+    if (Machine* at = chooseStore(p, crowded)) {
+      if (crowded) return false;
+      return send(p, *at, chooseSource(p, at)), true;
+    }
+    if (second || !mayGoDirect) return false;
+    // No cache of the location takes it: straight to its parent, or to the origin.
+    Machine* source = chooseSource(p, nullptr);
+    if (!source || source->role == Role::store || !mayGo(p, *source)) return false;
+    return send(p, *source, source), true;
+  }
 
-void Router::Mind::tend(Pull& p) {
-  if (p.ended || p.streaming) return;
-  constexpr Ms beforeExpiry = 4;
-  if (now >= p.expiresAt - beforeExpiry) return giveUp(p, 0);
-  if (p.legsOut() == 0) {
-    if (!sendNext(p, false)) return giveUp(p, p.ware->meanSending);
+  void tend(Pull& p) {
+    if (p.ended || p.streaming) return;
+    constexpr Ms beforeExpiry = 4;
+    if (now >= p.expiresAt - beforeExpiry) return giveUp(p, 0);
+    if (p.legsOut() == 0) {
+      if (!sendNext(p, false)) return giveUp(p, p.ware->meanSending);
+    }
   }
-}
 
-void Router::Mind::giveUp(Pull& p, Ms retryAfter) {
-  bool harmless = p.ware->terms.effect == Effect::rerunnable ||
-                  (p.ware->terms.effect == Effect::ticketed && p.ware->terms.span == Span::everywhere);
-  if (!harmless)
-    harmless = std::all_of(p.legs.begin(), p.legs.end(), [](const Leg& l) { return l.neverRan; });
-  if (harmless) act(DeclinePull{p.id, std::min(retryAfter, retryLimit)});
-  else act(AbandonPull{p.id});
-  finish(p);
-}
+  void giveUp(Pull& p, Ms retryAfter) {
+    bool harmless = p.ware->terms.effect == Effect::rerunnable ||
+                    (p.ware->terms.effect == Effect::ticketed && p.ware->terms.span == Span::everywhere);
+    if (!harmless)
+      harmless = std::all_of(p.legs.begin(), p.legs.end(), [](const Leg& l) { return l.neverRan; });
+    if (harmless) act(DeclinePull{p.id, std::min(retryAfter, retryLimit)});
+    else act(AbandonPull{p.id});
+    finish(p);
+  }
 
-// The pull has its final answer: losers are called off, and the pull goes when its last leg is in.
-void Router::Mind::finish(Pull& p) {
-  p.ended = true;
-  for (std::size_t i = 0; i < p.legs.size(); ++i)
-    if (p.legs[i].out && mayCancel) act(CancelLeg{p.id, static_cast<int>(i)});
-}
+  // The pull has its final answer: losers are called off, and the pull goes when its last leg is in.
+  void finish(Pull& p) {
+    p.ended = true;
+    for (std::size_t i = 0; i < p.legs.size(); ++i)
+      if (p.legs[i].out && mayCancel) act(CancelLeg{p.id, static_cast<int>(i)});
+  }
 
-void Router::Mind::forget(Pull& p) {
-  if (!p.ended || p.legsOut() > 0) return;
-  --p.memory->pins;
-  pulls.erase(p.id);
-}
+  void forget(Pull& p) {
+    if (!p.ended || p.legsOut() > 0) return;
+    --p.memory->pins;
+    pulls.erase(p.id);
+  }
 
-void Router::Mind::legEnded(const LegEnded& e) {
-  auto found = pulls.find(e.pull);
-  if (found == pulls.end()) return;
-  Pull& p = found->second;
-  if (e.leg < 0 || e.leg >= static_cast<int>(p.legs.size())) return;
-  Leg& leg = p.legs[static_cast<std::size_t>(e.leg)];
-  if (!leg.out) return;
-  leg.out = false;
-  --leg.at->held;
-  if (leg.source) --leg.source->feeding;
-  leg.neverRan = e.ending == Ending::full || e.ending == Ending::noConnection || e.ending == Ending::moot ||
-                 e.ending == Ending::miss;
-  if (e.ending == Ending::finished) {
-    absolve(*leg.at);
-    bool filled = e.remark == Remark::filled || e.remark == Remark::filledByOrigin;
-    bool hit = e.remark == Remark::hit || e.remark == Remark::joined || e.remark == Remark::aged;
-    if (filled && leg.source) absolve(*leg.source);
-    if (leg.at->role == Role::store && !p.ware->terms.neverKept) {
-      Memory& m = *p.memory;
-      if (tellsFills && (hit || filled)) learnOmega(p, leg, hit);
-      if (e.remark == Remark::hit) {
-        if (streamKbPerMs <= 0 || p.ware->sendingSeen == false) {
-          m.sending = m.sending > 0 ? std::min(m.sending, e.took) : e.took;
-          p.ware->meanSending += 0.02 * (std::min(e.took, 4 * p.ware->meanSending) - p.ware->meanSending);
+  void legEnded(const LegEnded& e) {
+    auto found = pulls.find(e.pull);
+    if (found == pulls.end()) return;
+    Pull& p = found->second;
+    if (e.leg < 0 || e.leg >= static_cast<int>(p.legs.size())) return;
+    Leg& leg = p.legs[static_cast<std::size_t>(e.leg)];
+    if (!leg.out) return;
+    leg.out = false;
+    --leg.at->held;
+    if (leg.source) --leg.source->feeding;
+    leg.neverRan = e.ending == Ending::full || e.ending == Ending::noConnection || e.ending == Ending::moot ||
+                   e.ending == Ending::miss;
+    if (e.ending == Ending::finished) {
+      absolve(*leg.at);
+      bool filled = e.remark == Remark::filled || e.remark == Remark::filledByOrigin;
+      bool hit = e.remark == Remark::hit || e.remark == Remark::joined || e.remark == Remark::aged;
+      if (filled && leg.source) absolve(*leg.source);
+      if (leg.at->role == Role::store && !p.ware->terms.neverKept) {
+        Memory& m = *p.memory;
+        if (tellsFills && (hit || filled)) learnOmega(p, leg, hit);
+        if (e.remark == Remark::hit) {
+          if (streamKbPerMs <= 0 || p.ware->sendingSeen == false) {
+            m.sending = m.sending > 0 ? std::min(m.sending, e.took) : e.took;
+            p.ware->meanSending += 0.02 * (std::min(e.took, 4 * p.ware->meanSending) - p.ware->meanSending);
+          }
+          learnRoom(*leg.at, p, leg, e.took);
         }
-        learnRoom(*leg.at, p, leg, e.took);
+        m.lastAt = leg.at;
+        m.lastFinished = now;
       }
-      m.lastAt = leg.at;
-      m.lastFinished = now;
+    } else {
+      blame(p, leg, e);
     }
-  } else {
-    blame(p, leg, e);
+    if (e.final && !p.ended) finish(p);
+    tend(p);
+    forget(p);
   }
-  if (e.final && !p.ended) finish(p);
-  tend(p);
-  forget(p);
-}
 
-// Whose fault an ending was, and whom this pull avoids from now on.
-void Router::Mind::blame(Pull& p, Leg& leg, const LegEnded& e) {
-  Machine* source = leg.source;
-  bool bySource = source && (e.remark == Remark::sourceRefused || e.remark == Remark::sourceLost ||
-                             e.remark == Remark::originFailed || e.remark == Remark::sourceLacks);
-  if (bySource) {
-    if (source->role == Role::store) {
-      p.siblingLacked = true;
+  // Whose fault an ending was, and whom this pull avoids from now on.
+  void blame(Pull& p, Leg& leg, const LegEnded& e) {
+    Machine* source = leg.source;
+    bool bySource = source && (e.remark == Remark::sourceRefused || e.remark == Remark::sourceLost ||
+                               e.remark == Remark::originFailed || e.remark == Remark::sourceLacks);
+    if (bySource) {
+      if (source->role == Role::store) {
+        p.siblingLacked = true;
+        if (e.remark == Remark::sourceLost) strike(*source, 1);
+        return;
+      }
+      p.failed.push_back(source);
+      if (e.remark == Remark::sourceRefused) source->fullUntil = now + second / 10;
       if (e.remark == Remark::sourceLost) strike(*source, 1);
       return;
     }
-    p.failed.push_back(source);
-    if (e.remark == Remark::sourceRefused) source->fullUntil = now + second / 10;
-    if (e.remark == Remark::sourceLost) strike(*source, 1);
-    return;
-  }
-  switch (e.ending) {
-    case Ending::full:
-      leg.at->fullUntil = now + second / 20;  // its queue needs a moment
-      p.failed.push_back(leg.at);
-      break;
-    case Ending::noConnection:
-    case Ending::broken:
-    case Ending::timedOut:
-    case Ending::error:
-      strike(*leg.at, 1);
-      p.failed.push_back(leg.at);
-      break;
-    case Ending::miss:
-      if (source && source->role == Role::store) p.siblingLacked = true;
-      else p.failed.push_back(source ? source : leg.at);
-      break;
-    default: break;
+    switch (e.ending) {
+      case Ending::full:
+        leg.at->fullUntil = now + second / 20;  // its queue needs a moment
+        p.failed.push_back(leg.at);
+        break;
+      case Ending::noConnection:
+      case Ending::broken:
+      case Ending::timedOut:
+      case Ending::error:
+        strike(*leg.at, 1);
+        p.failed.push_back(leg.at);
+        break;
+      case Ending::miss:
+        if (source && source->role == Role::store) p.siblingLacked = true;
+        else p.failed.push_back(source ? source : leg.at);
+        break;
+      default:
+        break;
+    }
   }
-}
 
-void Router::Mind::wake(const WakeUp& e) {
-  std::uint32_t id = static_cast<std::uint32_t>(e.handle);
-  switch (e.handle >> 56) {
-    case wakePull:
-      if (auto p = pulls.find(id); p != pulls.end()) {
-        tend(p->second);
-        forget(p->second);
-      }
-      break;
-    case wakeMachine:
-      if (auto m = machines.find(id); m != machines.end()) tryAgain(m->second);
-      break;
-    case wakeList: act(FollowList{}); break;
+  void wake(const WakeUp& e) {
+    std::uint32_t id = static_cast<std::uint32_t>(e.handle);
+    switch (e.handle >> 56) {
+      case wakePull:
+        if (auto p = pulls.find(id); p != pulls.end()) {
+          tend(p->second);
+          forget(p->second);
+        }
+        break;
+      case wakeMachine:
+        if (auto m = machines.find(id); m != machines.end()) tryAgain(m->second);
+        break;
+      case wakeList:
+        act(FollowList{});
+        break;
+    }
   }
-}
+};
 
 // ---- events
 
--- a/src/logic.hpp
+++ b/src/logic.hpp
@@ -79,8 +79,19 @@
   double sizeKb = 0;  // 0: not told
 };
 enum class Ending { finished, error, full, timedOut, noConnection, broken, cancelled, moot, miss };
-enum class Remark { none, hit, filled, filledByOrigin, joined, aged, sourceRefused, sourceLost, sourceLacks,
-                    noFillPlace, originFailed };
+enum class Remark {
+  none,
+  hit,
+  filled,
+  filledByOrigin,
+  joined,
+  aged,
+  sourceRefused,
+  sourceLost,
+  sourceLacks,
+  noFillPlace,
+  originFailed
+};
 struct LegStarted {
   std::uint32_t pull = 0, cache = 0;
   int leg = 0;
@@ -95,8 +106,12 @@
   Ms waited = 0;  // until the first byte of a fill came, or it failed
   std::vector<float> report;
 };
-struct ClientLeft { std::uint32_t pull = 0; };
-struct WakeUp { std::uint64_t handle = 0; };
+struct ClientLeft {
+  std::uint32_t pull = 0;
+};
+struct WakeUp {
+  std::uint64_t handle = 0;
+};
 struct ProbeEnded {
   std::uint32_t cache = 0;
   bool answered = false;
@@ -109,9 +124,12 @@
   int group = 0;
   Ms ago = 0;
 };
-struct PeerSaid { std::uint32_t peer = 0; std::string text; };
-using Event = std::variant<ListNews, PullCame, LegStarted, LegEnded, ClientLeft, WakeUp, ProbeEnded, Purged,
-                           PeerSaid>;
+struct PeerSaid {
+  std::uint32_t peer = 0;
+  std::string text;
+};
+using Event =
+    std::variant<ListNews, PullCame, LegStarted, LegEnded, ClientLeft, WakeUp, ProbeEnded, Purged, PeerSaid>;
 
 // ---- what is to be done
 struct SendLeg {
@@ -121,15 +139,30 @@
   Ms oldest = 0;    // 0: as old as the offering allows
   Ms patience = 0;  // 0: till the client quits
 };
-struct CancelLeg { std::uint32_t pull = 0; int leg = 0; };
-struct DeclinePull { std::uint32_t pull = 0; Ms retryAfter = 0; };
-struct AbandonPull { std::uint32_t pull = 0; };
-struct WakeMe { Ms at = 0; std::uint64_t handle = 0; };
-struct ProbeCache { std::uint32_t cache = 0; };
+struct CancelLeg {
+  std::uint32_t pull = 0;
+  int leg = 0;
+};
+struct DeclinePull {
+  std::uint32_t pull = 0;
+  Ms retryAfter = 0;
+};
+struct AbandonPull {
+  std::uint32_t pull = 0;
+};
+struct WakeMe {
+  Ms at = 0;
+  std::uint64_t handle = 0;
+};
+struct ProbeCache {
+  std::uint32_t cache = 0;
+};
 struct FollowList {};
-struct WriteLine { std::string text; };
-using Action = std::variant<SendLeg, CancelLeg, DeclinePull, AbandonPull, WakeMe, ProbeCache, FollowList,
-                            WriteLine>;
+struct WriteLine {
+  std::string text;
+};
+using Action =
+    std::variant<SendLeg, CancelLeg, DeclinePull, AbandonPull, WakeMe, ProbeCache, FollowList, WriteLine>;
 
 class Router {
  public:
