--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -89,7 +89,7 @@
   Memory* memory = nullptr;
   Machine* lastAt = nullptr;
   int rank = 1;
-  bool ended = false, streaming = false, siblingLacked = false, doubled = false;
+  bool ended = false, streaming = false, siblingLacked = false, knownMiss = false;
   Ms waitUntil = 0;
   std::vector<Leg> legs;
   std::vector<Machine*> failed;  // caches and sources that failed this pull
@@ -121,14 +121,14 @@
   std::map<std::uint32_t, Machine> machines;
   std::vector<Machine*> stores, parents;
   Machine* origin = nullptr;
-  std::unordered_map<std::uint32_t, Pull> pulls;  // emptied when a pull has ended and its last leg is in
-  std::list<Memory> memories;                     // oldest first
+  std::map<std::uint32_t, Pull> pulls;  // emptied when a pull has ended and its last leg is in
+  std::list<Memory> memories;           // oldest first
   std::unordered_map<std::uint64_t, std::list<Memory>::iterator> memoryAt;
   std::unordered_map<std::uint64_t, Ms> purges;  // object or group: when; emptied after purgeKept
   std::deque<std::pair<Ms, std::uint64_t>> purgeOrder;
   double meanPayoff = 1, meanWork = 100;
   double secondLegs = 0;  // tokens for second legs
-  int fillsOut = 0, linesLeft = 150;
+  int linesLeft = 150;
   bool asked = false;
 
   void act(Action a) { todo->push_back(std::move(a)); }
@@ -471,8 +471,9 @@
       room += m->room * warmth(*m);
       if (level(*m) < level(*least)) least = m;
     }
-    // Bounded load: a quarter over the mean, and never moved on while it would still send at full pace.
-    double bound = std::max(1.25, 1.25 * (held + 1) / std::max(room, 0.25));
+    // Bounded load: a quarter over the mean, and not while a pull still meets its agreed time at home, since
+    // a move costs a fill.
+    double bound = std::max(1.75, 1.25 * (held + 1) / std::max(room, 0.25));
     for (Machine* m : open)
       if (level(*m) <= bound) {
         least = m;
@@ -498,6 +499,24 @@
     return origin && open(origin) ? origin : nullptr;
   }
 
+  // ---- the location's link in
+
+  // Fills under way over those that the link carries at full pace. A leg that may yet prove a hit counts as a
+  // fill once it is out for longer than a hit takes.
+  double linkLevel() const {
+    double fills = 0;
+    for (auto& [id, p] : pulls)
+      for (const Leg& leg : p.legs)
+        if (leg.out && leg.source && leg.source->role != Role::store)
+          fills += p.knownMiss || now - leg.sentAt > 1.5 * p.sending
+                       ? 1
+                       : 0.3;  // three in ten: a usual miss share
+    double room = linkRoom;
+    if (room <= 0)
+      for (const Machine* m : stores) room += m->room / 3;  // not told: as for that share of misses
+    return (fills * crew + 1) / std::max(room, 0.5);
+  }
+
   // ---- legs
 
   void arrive(const PullCame& e) {
@@ -570,9 +589,22 @@
     bool crowded = false;
     if (Machine* at = chooseStore(p, crowded)) {
       if (crowded) return false;
-      return send(p, *at, chooseSource(p, at)), true;
+      Machine* source = chooseSource(p, at);
+      // The link is shared by all fills: crowded, it makes every one late, and fill places run out behind it.
+      // So when it fills up, a pull first only looks; a miss is filled if it is worth what the link has left.
+      // Guards against any surge of misses (cold caches, purges, scans, large objects). Harm: a look costs a
+      // round trip.
+      constexpr double pressed = 0.8;
+      if (source && source->role != Role::store) {
+        double link = linkLevel();
+        if (!p.knownMiss && link > pressed && static_cast<int>(p.legs.size()) + 1 < mostLegs)
+          source = nullptr;
+        else if (p.knownMiss && link > bearable(p)) return false;
+      }
+      return send(p, *at, source), true;
     }
-    if (second || !mayGoDirect) return false;
+    bool anyUsable = std::any_of(stores.begin(), stores.end(), [&](Machine* m) { return usable(*m); });
+    if (second || !mayGoDirect || anyUsable) return false;
     // No cache of the location takes it: straight to its parent, or to the origin.
     Machine* source = chooseSource(p, nullptr);
     if (!source || source->role == Role::store || !mayGo(p, *source)) return false;
@@ -656,7 +688,7 @@
                                e.remark == Remark::originFailed || e.remark == Remark::sourceLacks);
     if (bySource) {
       if (source->role == Role::store) {
-        p.siblingLacked = true;
+        p.siblingLacked = p.knownMiss = true;
         if (e.remark == Remark::sourceLost) strike(*source, 1);
         return;
       }
@@ -667,6 +699,10 @@
     }
     switch (e.ending) {
       case Ending::full:
+        if (e.remark == Remark::noFillPlace) {
+          p.failed.push_back(leg.at);  // hits are still served there: the cache is not at fault
+          break;
+        }
         leg.at->fullUntil = now + second / 20;  // its queue needs a moment
         p.failed.push_back(leg.at);
         break;
@@ -678,7 +714,8 @@
         p.failed.push_back(leg.at);
         break;
       case Ending::miss:
-        if (source && source->role == Role::store) p.siblingLacked = true;
+        if (source && source->role == Role::store) p.siblingLacked = p.knownMiss = true;
+        else if (!source && !p.knownMiss) p.knownMiss = true;
         else p.failed.push_back(source ? source : leg.at);
         break;
       default:
