--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -55,7 +55,7 @@
   Ms startedAt = longAgo;
   int held = 0;                             // legs of ours that are out there
   int feeding = 0;                          // legs of ours that name it as their source
-  double room = 0;                          // transfers it carries at full pace, as learnt
+  double nominal = 0, room = 0;             // transfers it should carry at full pace, and does, as learnt
   std::deque<std::pair<Ms, double>> spent;  // cold budget: emptied as the window passes
   int strikes = 0, answers = 0;
   bool aside = false, trialOut = false;
@@ -220,7 +220,8 @@
       m.room = 0;
     }
     // Weights absent: four transfers, a small machine's worth; crowded and uncrowded answers correct it.
-    if (m.room <= 0) m.room = weighed ? m.weight : 4;
+    m.nominal = weighed ? m.weight : 4;
+    if (m.room <= 0) m.room = m.nominal;
   }
 
   const ColdTerms* coldTerms(const Machine& m) const {
@@ -417,9 +418,9 @@
     if (own < tooShort) return;
     double stretch = std::max(1.0, (took - theWay) / own);
     double held = std::max(1.0, 0.5 * crew * (leg.heldThen + m.held + 1));
-    if (stretch > 1.5) m.room += 0.1 * (std::min(held / stretch, 2 * m.room) - m.room);
-    else if (stretch < 1.25 && held > 0.5 * m.room)
-      m.room = std::max(m.room * 1.02, std::min(held, 1.1 * m.room));
+    if (stretch > 1.5) m.room += 0.1 * (std::min(held / stretch, m.room) - m.room);
+    if (stretch < 1.25)
+      m.room = std::max(m.room + 0.02 * (m.nominal - m.room), std::min(held, 1.05 * m.room));
     m.room = std::max(m.room, 0.25);
   }
 
