--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -414,7 +414,7 @@
   void learnRoom(Machine& m, const Pull& p, const Leg& leg, Ms took) {
     constexpr Ms tooShort = 10;  // below, the way there outweighs the sending
     constexpr Ms theWay = 5;     // connection and network inside a location, on the long side
-    Ms own = p.memory->sending > 0 ? p.memory->sending : streamKbPerMs > 0 ? p.sending : 0;
+    Ms own = p.ware->sendingSeen ? p.sending : p.memory->sending;
     if (own < tooShort) return;
     double stretch = std::max(1.0, (took - theWay) / own);
     double held = std::max(1.0, 0.5 * crew * (leg.heldThen + m.held + 1));
@@ -665,11 +665,11 @@
         Memory& m = *p.memory;
         if (tellsFills && (hit || filled)) learnOmega(p, leg, hit);
         if (e.remark == Remark::hit) {
-          if (streamKbPerMs <= 0 || p.ware->sendingSeen == false) {
+          learnRoom(*leg.at, p, leg, e.took);
+          if (!p.ware->sendingSeen) {
             m.sending = m.sending > 0 ? std::min(m.sending, e.took) : e.took;
             p.ware->meanSending += 0.02 * (std::min(e.took, 4 * p.ware->meanSending) - p.ware->meanSending);
           }
-          learnRoom(*leg.at, p, leg, e.took);
         }
         m.lastAt = leg.at;
         m.lastFinished = now;
