--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -68,7 +68,7 @@
   Ms lastPull = longAgo, lastFinished = longAgo;
   double count = 0;           // pulls, ageing
   Machine* lastAt = nullptr;  // the cache that finished it last
-  Ms sending = 0;             // its own sending time where sizes are not told; 0: not seen
+  Ms sending = 0;             // of the object, where sizes are not told; 0: not seen
   int pins = 0;               // pulls under way that point here
 };
 
@@ -86,7 +86,7 @@
   std::uint64_t object = 0;
   int group = 0;
   Ms cameAt = 0, expiresAt = 0, agreedAt = 0, sending = 0, gap = 0;
-  Memory* memory = nullptr;
+  Memory *memory = nullptr, *whole = nullptr;  // of the part, and of the object: its parts are of one size
   Machine* lastAt = nullptr;
   int rank = 1;
   bool ended = false, streaming = false, siblingLacked = false, knownMiss = false;
@@ -414,7 +414,7 @@
   void learnRoom(Machine& m, const Pull& p, const Leg& leg, Ms took) {
     constexpr Ms tooShort = 10;  // below, the way there outweighs the sending
     constexpr Ms theWay = 5;     // connection and network inside a location, on the long side
-    Ms own = p.ware->sendingSeen ? p.sending : p.memory->sending;
+    Ms own = p.ware->sendingSeen ? p.sending : p.whole->sending;
     if (own < tooShort) return;
     double stretch = std::max(1.0, (took - theWay) / own);
     double held = std::max(1.0, 0.5 * crew * (leg.heldThen + m.held + 1));
@@ -533,6 +533,8 @@
     p.memory = recall(e.object, e.part);
     Memory& m = *p.memory;
     ++m.pins;
+    p.whole = recall(e.object, -1);
+    ++p.whole->pins;
     p.gap = m.lastPull > longAgo ? now - m.lastPull : 0;
     m.count = m.count * (m.lastPull > longAgo ? std::exp(-p.gap / countAgeing) : 0) + 1;
     m.lastPull = now;
@@ -542,7 +544,7 @@
       w.meanSending += (p.sending - w.meanSending) * (w.sendingSeen ? 0.01 : 1);
       w.sendingSeen = true;
     } else {
-      p.sending = m.sending > 0 ? m.sending : w.meanSending;
+      p.sending = p.whole->sending > 0 ? p.whole->sending : w.meanSending;
     }
     p.agreedAt = now + std::min(w.terms.agreed + w.terms.agreedStretch * p.sending, w.terms.expiry);
     p.rank = rankOf(p);
@@ -641,6 +643,7 @@
   void forget(Pull& p) {
     if (!p.ended || p.legsOut() > 0) return;
     --p.memory->pins;
+    --p.whole->pins;
     pulls.erase(p.id);
   }
 
@@ -666,10 +669,12 @@
         if (tellsFills && (hit || filled)) learnOmega(p, leg, hit);
         if (e.remark == Remark::hit) {
           learnRoom(*leg.at, p, leg, e.took);
-          if (!p.ware->sendingSeen) {
-            m.sending = m.sending > 0 ? std::min(m.sending, e.took) : e.took;
+          if (!p.ware->sendingSeen)
             p.ware->meanSending += 0.02 * (std::min(e.took, 4 * p.ware->meanSending) - p.ware->meanSending);
-          }
+        }
+        if (hit || filled) {
+          Ms sent = std::max(1.0, e.took - e.waited);
+          p.whole->sending = p.whole->sending > 0 ? std::min(p.whole->sending, sent) : sent;
         }
         m.lastAt = leg.at;
         m.lastFinished = now;
