--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -433,12 +433,14 @@
     return (ours * sharers + 1) / (std::max(m.room, 0.25) * warmth(m));
   }
 
-  // How crowded a machine may be for this pull: the better its payoff for its work, the more. In overload
-  // this declines what pays least for its work, until the rest fits.
+  // How crowded a machine or link may be for this pull: it is stretched by about the level, and must meet its
+  // agreed time. Long pulls bear least, and a poor payoff for the work takes some off, so in overload those
+  // are declined first that earn least for what they take.
   double bearable(const Pull& p) const {
     double ratio = (p.ware->terms.payoff / std::max(p.sending, 1.0)) / (meanPayoff / std::max(meanWork, 1.0));
-    return std::clamp(2 * std::sqrt(ratio), 1.3,
-                      5.0);  // at twice its pace a pull still meets its agreed time
+    double stretch = (p.agreedAt - now) / std::max(p.sending, 1.0);
+    constexpr double margin = 0.8;  // the level is an estimate, and rises while the pull is under way
+    return std::clamp(margin * stretch * std::clamp(std::pow(ratio, 0.2), 0.7, 1.3), 1.2, 5.0);
   }
 
   // Rule 2: where a further leg of this pull may go.
