--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -45,6 +45,22 @@
   Ms omega = 0;
 };
 
+// Room: how many transfers a machine or link carries at full pace. A crowded answer shows it (held over
+// stretch), an uncrowded one that it is at least what was held; else it creeps back to what goes by size.
+// Guards against slow, pausing and overrated machines alike. Harm: one slow way to a client looks like a slow
+// machine for some answers.
+struct Room {
+  double nominal = 0, fits = 0;
+  void learn(double held, Ms own, Ms took) {
+    constexpr Ms tooShort = 10;  // below, the way there outweighs the sending
+    if (own < tooShort) return;
+    double stretch = std::max(1.0, took / own);
+    if (stretch > 1.5) fits += 0.1 * (std::min(held / stretch, fits) - fits);
+    if (stretch < 1.25) fits = std::max(fits + 0.02 * (nominal - fits), std::min(held, 1.05 * fits));
+    fits = std::max(fits, 0.25);
+  }
+};
+
 // A machine of the list. Machines are kept for the life of the front: as many as were ever listed.
 struct Machine {
   std::uint32_t id = 0;
@@ -53,9 +69,9 @@
   Standing standing = Standing::gone;
   double weight = 1;
   Ms startedAt = longAgo;
-  int held = 0;                             // legs of ours that are out there
-  int feeding = 0;                          // legs of ours that name it as their source
-  double nominal = 0, room = 0;             // transfers it should carry at full pace, and does, as learnt
+  int held = 0;     // legs of ours that are out there
+  int feeding = 0;  // legs of ours that name it as their source
+  Room room;
   std::deque<std::pair<Ms, double>> spent;  // cold budget: emptied as the window passes
   int strikes = 0, answers = 0;
   bool aside = false, trialOut = false;
@@ -77,6 +93,7 @@
   Machine* source = nullptr;  // nullptr: no fill
   Ms sentAt = 0;
   int heldThen = 0;
+  double fillsThen = 0;
   bool out = true, neverRan = false, mayFill = false;
 };
 
@@ -111,7 +128,9 @@
   int zone, crew, fronts, parentKind, originKind, mostLegs;
   bool asksForList, mayProbe, mayCancel, mayDouble, mayJoin, mayGoDirect, lateral, weighed, tellsFills;
   Ms retryLimit, purgeKept, coldWindow;
-  double streamKbPerMs, linkRoom;
+  double streamKbPerMs;
+  bool linkTold;
+  Room link;
   ColdTerms coldStore, coldParent;
   std::knuth_b chance;
 
@@ -164,8 +183,9 @@
         2 * s.purgeDone;  // twice: a fill under way may lay down an old copy late; the cap then costs nothing
     coldWindow = s.coldWindow;
     streamKbPerMs = s.streamKbPerMs;
-    bool linkTold = zone < static_cast<int>(s.linkKbPerMs.size()) && streamKbPerMs > 0;
-    linkRoom = linkTold ? s.linkKbPerMs[static_cast<std::size_t>(zone)] / streamKbPerMs : 0;
+    linkTold = zone < static_cast<int>(s.linkKbPerMs.size()) && streamKbPerMs > 0 &&
+               s.linkKbPerMs[static_cast<std::size_t>(zone)] > 0;
+    if (linkTold) link.fits = s.linkKbPerMs[static_cast<std::size_t>(zone)] / streamKbPerMs;
     coldStore = {s.coldFrom, s.coldMultiple, s.coldFor, 1.0 / crew};
     coldParent = {s.parentFrom, s.parentMultiple, s.parentColdFor, 1.0 / fronts};
   }
@@ -175,7 +195,7 @@
     static const char* const roles[] = {"cache", "parent", "origin", "machine"};
     char line[120];
     std::snprintf(line, sizeof line, "%s %u %s: strikes %d, legs %d, room %.1f",
-                  roles[static_cast<int>(m.role)], m.id, what, m.strikes, m.held, m.room);
+                  roles[static_cast<int>(m.role)], m.id, what, m.strikes, m.held, m.room.fits);
     act(WriteLine{line});
   }
 
@@ -192,12 +212,16 @@
     stores.clear();
     parents.clear();
     origin = nullptr;
+    if (!linkTold) link.nominal = 0;
     for (auto& [id, m] : machines) {
       if (m.standing == Standing::gone) continue;
+      // Not told: a third of what the caches carry, for a usual share of misses; fills correct it.
+      if (!linkTold && m.role == Role::store) link.nominal += m.room.nominal / 3;
       if (m.role == Role::store) stores.push_back(&m);
       if (m.role == Role::parent) parents.push_back(&m);
       if (m.role == Role::origin && (!origin || m.standing == Standing::ready)) origin = &m;
     }
+    if (link.fits <= 0) link.fits = link.nominal;
   }
 
   void takeEntry(const ListEntry& e) {
@@ -217,11 +241,11 @@
       m.startedAt = started;
       m.strikes = 0;
       m.aside = m.trialOut = false;
-      m.room = 0;
+      m.room = {};
     }
     // Weights absent: four transfers, a small machine's worth; crowded and uncrowded answers correct it.
-    m.nominal = weighed ? m.weight : 4;
-    if (m.room <= 0) m.room = m.nominal;
+    m.room.nominal = weighed ? m.weight : 4;
+    if (m.room.fits <= 0) m.room.fits = m.room.nominal;
   }
 
   const ColdTerms* coldTerms(const Machine& m) const {
@@ -340,9 +364,9 @@
     int like = 0;
     for (const Machine* other : m.role == Role::parent ? parents : stores)
       if (other != &m && other->kind == m.kind && !coldTerms(*other)) {
-        least = like++ ? std::min(least, other->room) : other->room;
+        least = like++ ? std::min(least, other->room.fits) : other->room.fits;
       }
-    return like ? least : m.room;
+    return like ? least : m.room.fits;
   }
 
   // The rule counts work over every window of the stated length. Half of this front's share is used:
@@ -408,29 +432,13 @@
     if (m.aside) act(WakeMe{now + second / 10, wakeMachine << 56 | m.id});
   }
 
-  // Room: how many transfers a machine carries at full pace. A crowded answer shows it (held over stretch),
-  // an uncrowded one shows that it is at least what was held. Guards against slow, pausing and overrated
-  // machines alike.
-  void learnRoom(Machine& m, const Pull& p, const Leg& leg, Ms took) {
-    constexpr Ms tooShort = 10;  // below, the way there outweighs the sending
-    constexpr Ms theWay = 5;     // connection and network inside a location, on the long side
-    Ms own = p.ware->sendingSeen ? p.sending : p.whole->sending;
-    if (own < tooShort) return;
-    double stretch = std::max(1.0, (took - theWay) / own);
-    double held = std::max(1.0, 0.5 * crew * (leg.heldThen + m.held + 1));
-    if (stretch > 1.5) m.room += 0.1 * (std::min(held / stretch, m.room) - m.room);
-    if (stretch < 1.25)
-      m.room = std::max(m.room + 0.02 * (m.nominal - m.room), std::min(held, 1.05 * m.room));
-    m.room = std::max(m.room, 0.25);
-  }
-
   // ---- cache choice
 
   // Transfers per transfer it can carry, with one more of ours.
   double level(const Machine& m) const {
     int ours = m.role == Role::store ? m.held : m.feeding;
     int sharers = m.role == Role::store ? crew : fronts;
-    return (ours * sharers + 1) / (std::max(m.room, 0.25) * warmth(m));
+    return (ours * sharers + 1) / (std::max(m.room.fits, 0.25) * warmth(m));
   }
 
   // How crowded a machine or link may be for this pull: it is stretched by about the level, and must meet its
@@ -471,7 +479,7 @@
     Machine* least = open.front();
     for (Machine* m : open) {
       held += m->held * crew;
-      room += m->room * warmth(*m);
+      room += m->room.fits * warmth(*m);
       if (level(*m) < level(*least)) least = m;
     }
     // Bounded load: a quarter over the mean, and not while a pull still meets its agreed time at home, since
@@ -504,22 +512,20 @@
 
   // ---- the location's link in
 
-  // Fills under way over those that the link carries at full pace. A leg that may yet prove a hit counts as a
-  // fill once it is out for longer than a hit takes.
-  double linkLevel() const {
+  // Fills under way. A leg that may yet prove a hit counts as one once it is out for longer than a hit takes;
+  // until then for three in ten, a usual share of misses.
+  double fillsOut() const {
     double fills = 0;
     for (auto& [id, p] : pulls)
       for (const Leg& leg : p.legs)
         if (leg.out && leg.source && leg.source->role != Role::store)
-          fills += p.knownMiss || now - leg.sentAt > 1.5 * p.sending
-                       ? 1
-                       : 0.3;  // three in ten: a usual miss share
-    double room = linkRoom;
-    if (room <= 0)
-      for (const Machine* m : stores) room += m->room / 3;  // not told: as for that share of misses
-    return (fills * crew + 1) / std::max(room, 0.5);
+          fills += p.knownMiss || now - leg.sentAt > 1.5 * p.sending ? 1 : 0.3;
+    return fills * crew;
   }
 
+  // The link is shared by all fills: crowded, it makes every one late, and fill places run out behind it.
+  double linkLevel() const { return (fillsOut() + 1) / std::max(link.fits, 0.5); }
+
   // ---- legs
 
   void arrive(const PullCame& e) {
@@ -565,6 +571,7 @@
     leg.source = source == &at ? nullptr : source;
     leg.sentAt = now;
     leg.heldThen = at.held++;
+    leg.fillsThen = linkTold ? 0 : fillsOut();
     leg.mayFill = leg.source && leg.source->role != Role::store;
     charge(at, work);
     if (at.aside) at.trialOut = true;
@@ -669,8 +676,14 @@
       if (leg.at->role == Role::store && !p.ware->terms.neverKept) {
         Memory& m = *p.memory;
         if (tellsFills && (hit || filled)) learnOmega(p, leg, hit);
+        Ms own = p.ware->sendingSeen ? p.sending : p.whole->sending;
+        constexpr Ms theWay = 5;  // connection and network inside a location, on the long side
+        if (!linkTold && filled && leg.source && leg.source->role != Role::store)
+          link.learn(std::max(1.0, 0.5 * (leg.fillsThen + fillsOut() + crew)), own,
+                     e.took - e.waited - theWay);
         if (e.remark == Remark::hit) {
-          learnRoom(*leg.at, p, leg, e.took);
+          leg.at->room.learn(std::max(1.0, 0.5 * crew * (leg.heldThen + leg.at->held + 1)), own,
+                             e.took - theWay);
           if (!p.ware->sendingSeen)
             p.ware->meanSending += 0.02 * (std::min(e.took, 4 * p.ware->meanSending) - p.ware->meanSending);
         }
