--- a/src/benchlink/facts.cpp
+++ b/src/benchlink/facts.cpp
@@ -115,19 +115,17 @@
   s.parentKind = static_cast<int>(f.number("familyInfo.parentKind", -1));
   s.originKind = static_cast<int>(f.number("familyInfo.sourceKind", -1));
   s.asksForList = f.choice<bool>("discovery", false, {{"push", false}, {"ask", true}});
-  s.askWithin = f.number("obligations.askWithin", 0);
   s.weighing = f.choice<Weighing>("weights", Weighing::none,
                                   {{"none", Weighing::none},
                                    {"nominal", Weighing::nominal},
                                    {"rough", Weighing::rough},
                                    {"live", Weighing::live}});
-  s.mayProbe = f.flag("limits.probing", false);
-  s.mayCancel = f.flag("limits.cancel", false);
-  s.mayDouble = f.flag("limits.mayDuplicate", false);
-  s.mayAdviseRetry = f.flag("limits.retryAfter", false);
-  s.mayJoin = f.flag("familyInfo.canJoin", false);
-  s.mayGoDirect = f.flag("familyInfo.direct", false);
-  s.longestRetryAfter = f.number("limits.maxRetryAfter", 0);
+  s.may.probe = f.flag("limits.probing", false);
+  s.may.cancel = f.flag("limits.cancel", false);
+  s.may.twoLegsAtOnce = f.flag("limits.mayDuplicate", false);
+  s.may.join = f.flag("familyInfo.canJoin", false);
+  s.may.direct = f.flag("familyInfo.direct", false);
+  s.longestRetryAfter = f.flag("limits.retryAfter", false) ? f.number("limits.maxRetryAfter", 0) : 0;
   s.mostLegs = f.whole("limits.maxAttempts", 1, 255);
   s.lateral = f.choice<Reach>("familyInfo.lateral", Reach::none,
                               {{"none", Reach::none}, {"location", Reach::location}, {"any", Reach::any}});
@@ -143,8 +141,6 @@
   s.parentFrom = f.number("familyInfo.parentFloor", s.coldFrom);
   s.parentColdFor = f.number("familyInfo.parentRamp", s.coldFor);
   s.parentMultiple = f.number("familyInfo.parentFallMultiple", s.coldMultiple);
-  if (f.has("report.names"))
-    for (std::string_view name : split(f.need("report.names"), ',')) s.reportNames.emplace_back(name);
   return s;
 }
 
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -81,7 +81,7 @@
 // What is known of one part of one object; the oldest is dropped when the table is full.
 struct Memory {
   std::uint64_t key = 0;
-  Ms lastPull = longAgo, lastFinished = longAgo;
+  Ms lastPull = longAgo;
   double count = 0;           // pulls, ageing
   Machine* lastAt = nullptr;  // the cache that finished it last
   Ms sending = 0;             // of the object, where sizes are not told; 0: not seen
@@ -94,7 +94,7 @@
   Ms sentAt = 0;
   int heldThen = 0;
   double fillsThen = 0;
-  bool out = true, neverRan = false, mayFill = false;
+  bool out = true, neverRan = false;
 };
 
 struct Pull {
@@ -102,12 +102,11 @@
   Ware* ware = nullptr;
   std::uint64_t object = 0;
   int group = 0;
-  Ms cameAt = 0, expiresAt = 0, agreedAt = 0, sending = 0, gap = 0;
+  Ms expiresAt = 0, agreedAt = 0, sending = 0, gap = 0;
   Memory *memory = nullptr, *whole = nullptr;  // of the part, and of the object: its parts are of one size
   Machine* lastAt = nullptr;
   int rank = 1;
   bool ended = false, streaming = false, siblingLacked = false, knownMiss = false;
-  Ms waitUntil = 0;
   std::vector<Leg> legs;
   std::vector<Machine*> failed;  // caches and sources that failed this pull
   bool hasFailed(const Machine* m) const {
@@ -126,10 +125,10 @@
   // ---- figures derived at start
   std::vector<Ware> wares;
   int zone, crew, fronts, parentKind, originKind, mostLegs;
-  bool asksForList, mayProbe, mayCancel, mayDouble, mayJoin, mayGoDirect, lateral, weighed, tellsFills;
+  Permits may;
+  bool asksForList, lateral, weighed, tellsFills, linkTold;
   Ms retryLimit, purgeKept, coldWindow;
   double streamKbPerMs;
-  bool linkTold;
   Room link;
   ColdTerms coldStore, coldParent;
   std::knuth_b chance;
@@ -146,7 +145,6 @@
   std::unordered_map<std::uint64_t, Ms> purges;  // object or group: when; emptied after purgeKept
   std::deque<std::pair<Ms, std::uint64_t>> purgeOrder;
   double meanPayoff = 1, meanWork = 100;
-  double secondLegs = 0;  // tokens for second legs
   int linesLeft = 150;
   bool asked = false;
 
@@ -168,19 +166,15 @@
     parentKind = s.parentKind;
     originKind = s.originKind;
     mostLegs = s.mostLegs;
+    may = s.may;
     asksForList = s.asksForList;
-    mayProbe = s.mayProbe;
-    mayCancel = s.mayCancel;
-    mayDouble = s.mayDouble;
-    mayJoin = s.mayJoin;
-    mayGoDirect = s.mayGoDirect;
     lateral = s.lateral != Reach::none;
     // Live weights change from list to list, and a home must not: they count as absent.
     weighed = s.weighing == Weighing::nominal || s.weighing == Weighing::rough;
     tellsFills = s.detail != Detail::none;
-    retryLimit = s.mayAdviseRetry ? s.longestRetryAfter : 0;
+    retryLimit = s.longestRetryAfter;
     purgeKept =
-        2 * s.purgeDone;  // twice: a fill under way may lay down an old copy late; the cap then costs nothing
+        2 * s.purgeDone;  // twice: a fill may lay down an old copy late, and the cap then costs nothing
     coldWindow = s.coldWindow;
     streamKbPerMs = s.streamKbPerMs;
     linkTold = zone < static_cast<int>(s.linkKbPerMs.size()) && streamKbPerMs > 0 &&
@@ -304,12 +298,10 @@
   // objects, or from a cache other than the one that finished the part last; where copies age out, omega
   // stays within their fresh time. Else a deploy's cold misses would cut omega at all fronts at once.
   void learnOmega(const Pull& p, const Leg& leg, bool hit) {
-    constexpr double step =
-        0.02;  // about fifty answers move it by e: seconds of traffic, not single surprises
+    constexpr double step = 0.02;  // fifty answers move it by e: seconds of traffic, not single surprises
     Ware& w = *p.ware;
     if (leg.at != p.lastAt || p.gap <= 0 || purgedAt(p) > longAgo) return;
-    const ColdTerms& t = coldStore;
-    if (now - leg.at->startedAt < t.lasts + p.gap) return;
+    if (now - leg.at->startedAt < coldStore.lasts + p.gap) return;
     if (hit && p.gap > w.omega) w.omega *= 1 + step;
     if (!hit && p.gap < w.omega) w.omega *= 1 - step;
     Ms most = w.terms.freshFor > 0 ? w.terms.freshFor : 4 * countAgeing;
@@ -391,7 +383,7 @@
   bool usable(const Machine& m) const {
     if (m.standing != Standing::ready) return false;
     if (!m.aside) return now >= m.fullUntil;
-    return !mayProbe && now >= m.asideUntil && !m.trialOut;  // without probes: one trial pull at a time
+    return !may.probe && now >= m.asideUntil && !m.trialOut;  // without probes: one trial pull at a time
   }
 
   // Guards against whatever makes a machine fail legs in a row: a crash the list has not told, a refused
@@ -407,12 +399,12 @@
     if (!m.aside) say("set aside", m);
     m.aside = true;
     m.asideUntil = now + m.pause;
-    if (mayProbe) act(WakeMe{m.asideUntil, wakeMachine << 56 | m.id});
+    if (may.probe) act(WakeMe{m.asideUntil, wakeMachine << 56 | m.id});
   }
 
   void absolve(Machine& m) {
     m.strikes = 0;
-    if (!m.aside || (mayProbe && m.answers < 2)) return;  // with probes: back only after two answered
+    if (!m.aside || (may.probe && m.answers < 2)) return;  // with probes: back only after two answered
     m.aside = m.trialOut = false;
     say("is back", m);
   }
@@ -456,7 +448,7 @@
     const Offering& o = p.ware->terms;
     for (const Leg& leg : p.legs) {
       if (leg.neverRan) continue;
-      if (leg.out && !mayDouble) return false;
+      if (leg.out && !may.twoLegsAtOnce) return false;
       if (o.effect == Effect::exclusive) return false;
       if (o.effect == Effect::rerunnable) continue;
       if (now - leg.sentAt >= o.memory) return false;
@@ -528,6 +520,8 @@
 
   // ---- legs
 
+  static constexpr Ms beforeExpiry = 4;  // two ticks: the final answer goes out before the client leaves
+
   void arrive(const PullCame& e) {
     if (e.offering >= static_cast<int>(wares.size()) || pulls.count(e.pull)) return;
     Pull& p = pulls[e.pull];
@@ -536,7 +530,6 @@
     Ware& w = *p.ware;
     p.object = e.object;
     p.group = e.group;
-    p.cameAt = now;
     p.expiresAt = now + e.ttl;
     p.memory = recall(e.object, e.part);
     Memory& m = *p.memory;
@@ -558,10 +551,9 @@
     p.rank = rankOf(p);
     meanPayoff += 0.01 * (w.terms.payoff - meanPayoff);  // about the last hundred pulls
     meanWork += 0.01 * (p.sending - meanWork);
-    secondLegs = std::min(secondLegs + 0.05, 10.0);  // one pull in twenty may have a second leg
-    constexpr Ms beforeExpiry = 4;  // two ticks: the final answer goes out before the client leaves
     act(WakeMe{std::max(now, p.expiresAt - beforeExpiry), wakePull << 56 | p.id});
     tend(p);
+    forget(p);
   }
 
   void send(Pull& p, Machine& at, Machine* source) {
@@ -572,7 +564,6 @@
     leg.sentAt = now;
     leg.heldThen = at.held++;
     leg.fillsThen = linkTold ? 0 : fillsOut();
-    leg.mayFill = leg.source && leg.source->role != Role::store;
     charge(at, work);
     if (at.aside) at.trialOut = true;
     if (leg.source) {
@@ -584,7 +575,7 @@
     a.pull = p.id;
     a.cache = at.id;
     a.source = source ? source->id : at.id;
-    a.join = mayJoin;
+    a.join = may.join;
     a.renew = p.ware->terms.freshFor > 0;
     a.rank = p.rank;
     a.oldest = oldest(p);
@@ -593,9 +584,9 @@
     p.legs.push_back(leg);
   }
 
-  bool sendNext(Pull& p, bool second) {
+  bool sendNext(Pull& p) {
     if (static_cast<int>(p.legs.size()) >= mostLegs) return false;
-    if (p.ware->terms.neverKept && mayGoDirect && origin && usable(*origin) && !p.hasFailed(origin) &&
+    if (p.ware->terms.neverKept && may.direct && origin && usable(*origin) && !p.hasFailed(origin) &&
         mayGo(p, *origin))
       return send(p, *origin, origin), true;
     bool crowded = false;
@@ -616,7 +607,7 @@
       return send(p, *at, source), true;
     }
     bool anyUsable = std::any_of(stores.begin(), stores.end(), [&](Machine* m) { return usable(*m); });
-    if (second || !mayGoDirect || anyUsable) return false;
+    if (!may.direct || anyUsable) return false;
     // No cache of the location takes it: straight to its parent, or to the origin.
     Machine* source = chooseSource(p, nullptr);
     if (!source || source->role == Role::store || !mayGo(p, *source)) return false;
@@ -625,11 +616,8 @@
 
   void tend(Pull& p) {
     if (p.ended || p.streaming) return;
-    constexpr Ms beforeExpiry = 4;
     if (now >= p.expiresAt - beforeExpiry) return giveUp(p, 0);
-    if (p.legsOut() == 0) {
-      if (!sendNext(p, false)) return giveUp(p, p.ware->meanSending);
-    }
+    if (p.legsOut() == 0 && !sendNext(p)) giveUp(p, p.ware->meanSending);
   }
 
   void giveUp(Pull& p, Ms retryAfter) {
@@ -645,8 +633,17 @@
   // The pull has its final answer: losers are called off, and the pull goes when its last leg is in.
   void finish(Pull& p) {
     p.ended = true;
-    for (std::size_t i = 0; i < p.legs.size(); ++i)
-      if (p.legs[i].out && mayCancel) act(CancelLeg{p.id, static_cast<int>(i)});
+    callOff(p, -1);
+  }
+
+  void callOff(const Pull& p, int except) {
+    for (int i = 0; i < static_cast<int>(p.legs.size()); ++i)
+      if (may.cancel && i != except && p.legs[static_cast<std::size_t>(i)].out) act(CancelLeg{p.id, i});
+  }
+
+  Pull* known(std::uint32_t id) {
+    auto at = pulls.find(id);
+    return at == pulls.end() ? nullptr : &at->second;
   }
 
   void forget(Pull& p) {
@@ -657,10 +654,9 @@
   }
 
   void legEnded(const LegEnded& e) {
-    auto found = pulls.find(e.pull);
-    if (found == pulls.end()) return;
-    Pull& p = found->second;
-    if (e.leg < 0 || e.leg >= static_cast<int>(p.legs.size())) return;
+    Pull* found = known(e.pull);
+    if (!found || e.leg < 0 || e.leg >= static_cast<int>(found->legs.size())) return;
+    Pull& p = *found;
     Leg& leg = p.legs[static_cast<std::size_t>(e.leg)];
     if (!leg.out) return;
     leg.out = false;
@@ -692,7 +688,6 @@
           p.whole->sending = p.whole->sending > 0 ? std::min(p.whole->sending, sent) : sent;
         }
         m.lastAt = leg.at;
-        m.lastFinished = now;
       }
     } else {
       blame(p, leg, e);
@@ -705,61 +700,36 @@
   // Whose fault an ending was, and whom this pull avoids from now on.
   void blame(Pull& p, Leg& leg, const LegEnded& e) {
     Machine* source = leg.source;
-    bool bySource = source && (e.remark == Remark::sourceRefused || e.remark == Remark::sourceLost ||
-                               e.remark == Remark::originFailed || e.remark == Remark::sourceLacks);
-    if (bySource) {
-      if (source->role == Role::store) {
-        p.siblingLacked = p.knownMiss = true;
-        if (e.remark == Remark::sourceLost) strike(*source, 1);
-        return;
-      }
+    bool sibling = source && source->role == Role::store;
+    if (e.ending == Ending::miss || e.remark == Remark::noFillPlace) {
+      // No fault: the cache lacks it, or has no place to fill it but still serves hits.
+      if (e.remark == Remark::noFillPlace || (!sibling && p.knownMiss)) p.failed.push_back(leg.at);
+      p.siblingLacked |= sibling;
+      p.knownMiss = true;
+    } else if (source && e.remark >= Remark::sourceRefused && e.remark <= Remark::originFailed) {
+      p.siblingLacked |= sibling;
       p.failed.push_back(source);
       if (e.remark == Remark::sourceRefused) source->fullUntil = now + second / 10;
       if (e.remark == Remark::sourceLost) strike(*source, 1);
-      return;
-    }
-    switch (e.ending) {
-      case Ending::full:
-        if (e.remark == Remark::noFillPlace) {
-          p.failed.push_back(leg.at);  // hits are still served there: the cache is not at fault
-          break;
-        }
-        leg.at->fullUntil = now + second / 20;  // its queue needs a moment
-        p.failed.push_back(leg.at);
-        break;
-      case Ending::noConnection:
-      case Ending::broken:
-      case Ending::timedOut:
-      case Ending::error:
-        strike(*leg.at, 1);
-        p.failed.push_back(leg.at);
-        break;
-      case Ending::miss:
-        if (source && source->role == Role::store) p.siblingLacked = p.knownMiss = true;
-        else if (!source && !p.knownMiss) p.knownMiss = true;
-        else p.failed.push_back(source ? source : leg.at);
-        break;
-      default:
-        break;
+    } else if (e.ending == Ending::full) {
+      leg.at->fullUntil = now + second / 20;  // its queue needs a moment
+      p.failed.push_back(leg.at);
+    } else if (e.ending != Ending::cancelled && e.ending != Ending::moot) {
+      strike(*leg.at, 1);
+      p.failed.push_back(leg.at);
     }
   }
 
   void wake(const WakeUp& e) {
     std::uint32_t id = static_cast<std::uint32_t>(e.handle);
-    switch (e.handle >> 56) {
-      case wakePull:
-        if (auto p = pulls.find(id); p != pulls.end()) {
-          tend(p->second);
-          forget(p->second);
-        }
-        break;
-      case wakeMachine:
-        if (auto m = machines.find(id); m != machines.end()) tryAgain(m->second);
-        break;
-      case wakeList:
-        act(FollowList{});
-        break;
-    }
+    if (e.handle >> 56 == wakeList) act(FollowList{});
+    if (e.handle >> 56 == wakeMachine)
+      if (auto m = machines.find(id); m != machines.end()) tryAgain(m->second);
+    if (e.handle >> 56 == wakePull)
+      if (Pull* p = known(id)) {
+        tend(*p);
+        forget(*p);
+      }
   }
 };
 
@@ -779,26 +749,20 @@
     d.act(FollowList{});
   }
   if (auto* list = std::get_if<ListNews>(&event)) d.takeList(*list);
-  if (auto* came = std::get_if<PullCame>(&event)) {
-    d.arrive(*came);
-    if (auto p = d.pulls.find(came->pull); p != d.pulls.end()) d.forget(p->second);
-  }
+  if (auto* came = std::get_if<PullCame>(&event)) d.arrive(*came);
   if (auto* ended = std::get_if<LegEnded>(&event)) d.legEnded(*ended);
   if (auto* woke = std::get_if<WakeUp>(&event)) d.wake(*woke);
   if (auto* probe = std::get_if<ProbeEnded>(&event)) d.probed(*probe);
   if (auto* purge = std::get_if<Purged>(&event)) d.takePurge(*purge);
-  if (auto* begun = std::get_if<LegStarted>(&event)) {
-    if (auto p = d.pulls.find(begun->pull); p != d.pulls.end() && !p->second.ended) {
-      p->second.streaming = true;
-      for (std::size_t i = 0; i < p->second.legs.size(); ++i)
-        if (p->second.legs[i].out && static_cast<int>(i) != begun->leg && d.mayCancel)
-          d.act(CancelLeg{begun->pull, static_cast<int>(i)});
+  if (auto* begun = std::get_if<LegStarted>(&event))
+    if (Pull* p = d.known(begun->pull); p && !p->ended) {
+      p->streaming = true;  // the client owns that leg now: nothing binds it but its end
+      d.callOff(*p, begun->leg);
     }
-  }
   if (auto* left = std::get_if<ClientLeft>(&event))
-    if (auto p = d.pulls.find(left->pull); p != d.pulls.end()) {
-      if (!p->second.ended) d.finish(p->second);
-      d.forget(p->second);
+    if (Pull* p = d.known(left->pull)) {
+      if (!p->ended) d.finish(*p);
+      d.forget(*p);
     }
   return todo;
 }
--- a/src/logic.hpp
+++ b/src/logic.hpp
@@ -30,6 +30,11 @@
   bool neverKept = false;
 };
 
+// What a front may do here.
+struct Permits {
+  bool probe = false, cancel = false, twoLegsAtOnce = false, join = false, direct = false;
+};
+
 // What the deployment hands over at start. The module keeps figures derived from it, not the sheet.
 struct StoreSheet {
   std::vector<Offering> offerings;
@@ -38,11 +43,9 @@
   std::vector<int> crewByZone;  // fronts serving each zone
   int parentKind = -1, originKind = -1;
   bool asksForList = false;  // list changes come only when asked for
-  Ms askWithin = 0;
   Weighing weighing = Weighing::none;
-  bool mayProbe = false, mayCancel = false, mayDouble = false, mayAdviseRetry = false;
-  bool mayJoin = false, mayGoDirect = false;
-  Ms longestRetryAfter = 0;
+  Permits may;
+  Ms longestRetryAfter = 0;  // 0: no retry time may be named
   int mostLegs = 1;
   Reach lateral = Reach::none;
   Detail detail = Detail::none;
@@ -53,7 +56,6 @@
   Ms coldFor = 0, coldWindow = 0;
   double parentFrom = 1, parentMultiple = 0;
   Ms parentColdFor = 0;
-  std::vector<std::string> reportNames;
 };
 
 // ---- what happened
