--- a/src/benchlink/facts.cpp
+++ b/src/benchlink/facts.cpp
@@ -134,13 +134,13 @@
   s.streamKbPerMs = f.number("familyInfo.streamKbPerS", 0) / 1000;
   for (double v : f.numbers("familyInfo.pipeKbPerS")) s.linkKbPerMs.push_back(v / 1000);
   s.purgeDone = f.number("familyInfo.purgeDone", 0);
-  s.coldFrom = f.number("obligations.coldFrom", 1);
-  s.coldFor = f.number("obligations.cold", 0);
-  s.coldMultiple = f.number("obligations.overloadFactor", 0);
+  s.coldStore.from = f.number("obligations.coldFrom", 1);
+  s.coldStore.lasts = f.number("obligations.cold", 0);
+  s.coldStore.multiple = f.number("obligations.overloadFactor", 0);
   s.coldWindow = f.number("obligations.fall", 0);
-  s.parentFrom = f.number("familyInfo.parentFloor", s.coldFrom);
-  s.parentColdFor = f.number("familyInfo.parentRamp", s.coldFor);
-  s.parentMultiple = f.number("familyInfo.parentFallMultiple", s.coldMultiple);
+  s.coldParent.from = f.number("familyInfo.parentFloor", s.coldStore.from);
+  s.coldParent.lasts = f.number("familyInfo.parentRamp", s.coldStore.lasts);
+  s.coldParent.multiple = f.number("familyInfo.parentFallMultiple", s.coldStore.multiple);
   return s;
 }
 
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -30,19 +30,10 @@
 
 enum class Role { store, parent, origin, foreign };
 
-// How a role starts cold, and what all fronts together may send it meanwhile.
-struct ColdTerms {
-  double from = 1, multiple = 0;
-  Ms lasts = 0;
-  double share = 1;  // this front's part of the budget
-};
-
 // One offering's figures, with what has been learnt of it.
-struct Ware {
-  Offering terms;
-  Ms meanSending = 0;
+struct Ware : Offering {
+  Ms meanSending = 0, omega = 0;
   bool sendingSeen = false;
-  Ms omega = 0;
 };
 
 // Room: how many transfers a machine or link carries at full pace. A crowded answer shows it (held over
@@ -62,13 +53,8 @@
 };
 
 // A machine of the list. Machines are kept for the life of the front: as many as were ever listed.
-struct Machine {
-  std::uint32_t id = 0;
-  int zone = 0, kind = 0, cell = 0;
+struct Machine : ListEntry {
   Role role = Role::foreign;
-  Standing standing = Standing::gone;
-  double weight = 1;
-  Ms startedAt = longAgo;
   int held = 0;     // legs of ours that are out there
   int feeding = 0;  // legs of ours that name it as their source
   Room room;
@@ -97,11 +83,8 @@
   bool out = true, neverRan = false;
 };
 
-struct Pull {
-  std::uint32_t id = 0;
+struct Pull : PullCame {
   Ware* ware = nullptr;
-  std::uint64_t object = 0;
-  int group = 0;
   Ms expiresAt = 0, agreedAt = 0, sending = 0, gap = 0;
   Memory *memory = nullptr, *whole = nullptr;  // of the part, and of the object: its parts are of one size
   Machine* lastAt = nullptr;
@@ -109,11 +92,9 @@
   bool ended = false, streaming = false, siblingLacked = false, knownMiss = false;
   std::vector<Leg> legs;
   std::vector<Machine*> failed;  // caches and sources that failed this pull
-  bool hasFailed(const Machine* m) const {
-    return std::find(failed.begin(), failed.end(), m) != failed.end();
-  }
-  int legsOut() const {
-    return static_cast<int>(std::count_if(legs.begin(), legs.end(), [](const Leg& l) { return l.out; }));
+  bool hasFailed(const Machine* m) const { return std::count(failed.begin(), failed.end(), m) > 0; }
+  bool legOut() const {
+    return std::any_of(legs.begin(), legs.end(), [](const Leg& l) { return l.out; });
   }
 };
 
@@ -153,8 +134,7 @@
 
   Mind(const StoreSheet& s, std::uint64_t seed) : chance(seed) {
     for (const Offering& o : s.offerings) {
-      Ware w;
-      w.terms = o;
+      Ware w{o};
       w.meanSending = o.expiry / 16;  // a guess on the long side; the first pulls seen replace it
       w.omega = 5 * second;           // the design starts it at a few seconds
       wares.push_back(w);
@@ -180,8 +160,8 @@
     linkTold = zone < static_cast<int>(s.linkKbPerMs.size()) && streamKbPerMs > 0 &&
                s.linkKbPerMs[static_cast<std::size_t>(zone)] > 0;
     if (linkTold) link.fits = s.linkKbPerMs[static_cast<std::size_t>(zone)] / streamKbPerMs;
-    coldStore = {s.coldFrom, s.coldMultiple, s.coldFor, 1.0 / crew};
-    coldParent = {s.parentFrom, s.parentMultiple, s.parentColdFor, 1.0 / fronts};
+    coldStore = s.coldStore;
+    coldParent = s.coldParent;
   }
 
   void say(const char* what, const Machine& m) {
@@ -189,17 +169,15 @@
     static const char* const roles[] = {"cache", "parent", "origin", "machine"};
     char line[120];
     std::snprintf(line, sizeof line, "%s %u %s: strikes %d, legs %d, room %.1f",
-                  roles[static_cast<int>(m.role)], m.id, what, m.strikes, m.held, m.room.fits);
+                  roles[static_cast<int>(m.role)], m.cache, what, m.strikes, m.held, m.room.fits);
     act(WriteLine{line});
   }
 
   // ---- machines: the list, warmth, and the hash
 
   void takeList(const ListNews& news) {
-    if (news.listing == Listing::failed) {
-      act(WakeMe{now + second, wakeList << 56});  // ask again soon: the old list stays, and ages
-      return;
-    }
+    if (news.listing == Listing::failed)  // ask again soon: the old list stays, and ages
+      return act(WakeMe{now + second, wakeList << 56});
     if (news.listing != Listing::changes)
       for (auto& [id, m] : machines) m.standing = Standing::gone;  // one that a full list lacks has left
     for (const ListEntry& e : news.entries) takeEntry(e);
@@ -219,20 +197,18 @@
   }
 
   void takeEntry(const ListEntry& e) {
-    Machine& m = machines[e.cache];
-    m.id = e.cache;
-    m.zone = e.zone;
-    m.kind = e.kind;
-    m.cell = e.cell;
+    auto [at, first] = machines.try_emplace(e.cache);
+    Machine& m = at->second;
+    Ms before = first ? longAgo : m.startedAt;
+    static_cast<ListEntry&>(m) = e;
+    if (e.startedAt <= 0) m.startedAt = longAgo;
+    m.startedAt = std::max(m.startedAt, before);
+    if (!weighed || e.weight <= 0) m.weight = 1;
     m.role = e.kind == originKind   ? Role::origin
              : e.kind == parentKind ? Role::parent
              : e.zone == zone       ? Role::store
                                     : Role::foreign;
-    m.standing = e.standing;
-    m.weight = weighed && e.weight > 0 ? e.weight : 1;
-    Ms started = e.startedAt > 0 ? e.startedAt : longAgo;
-    if (started > m.startedAt) {  // a new start: what was known of the old process is void
-      m.startedAt = started;
+    if (m.startedAt > before) {  // a new start: what was known of the old process is void
       m.strikes = 0;
       m.aside = m.trialOut = false;
       m.room = {};
@@ -257,15 +233,16 @@
   // warmth, so that its objects come home in step with what it can carry.
   std::vector<Machine*> inOrder(const std::vector<Machine*>& from, std::uint64_t object) const {
     std::vector<std::pair<double, Machine*>> scored;
+    std::vector<Machine*> order;
     for (Machine* m : from) {
-      std::uint64_t h = mixed(mixed(object) ^ mixed(m->id + (std::uint64_t{m->role == Role::parent} << 40)));
+      std::uint64_t h =
+          mixed(mixed(object) ^ mixed(m->cache + (std::uint64_t{m->role == Role::parent} << 40)));
       double u = (static_cast<double>(h >> 11) + 0.5) * 0x1p-53;
       scored.emplace_back(-std::log(u) / weightNow(*m), m);
     }
     std::sort(scored.begin(), scored.end(), [](auto& a, auto& b) {
-      return a.first != b.first ? a.first < b.first : a.second->id < b.second->id;
+      return a.first != b.first ? a.first < b.first : a.second->cache < b.second->cache;
     });
-    std::vector<Machine*> order;
     for (auto& [score, m] : scored) order.push_back(m);
     return order;
   }
@@ -304,7 +281,7 @@
     if (now - leg.at->startedAt < coldStore.lasts + p.gap) return;
     if (hit && p.gap > w.omega) w.omega *= 1 + step;
     if (!hit && p.gap < w.omega) w.omega *= 1 - step;
-    Ms most = w.terms.freshFor > 0 ? w.terms.freshFor : 4 * countAgeing;
+    Ms most = w.freshFor > 0 ? w.freshFor : 4 * countAgeing;
     w.omega = std::clamp(w.omega, second / 2, most);
   }
 
@@ -344,7 +321,7 @@
     Ms purge = purgedAt(p);
     if (purge == longAgo) return 0;
     Ms since = std::max(now - purge - 1, 0.001);
-    return p.ware->terms.freshFor > 0 ? std::min(since, p.ware->terms.freshFor) : since;
+    return p.ware->freshFor > 0 ? std::min(since, p.ware->freshFor) : since;
   }
 
   // ---- cold budgets: what a machine that started lately may be sent
@@ -352,13 +329,10 @@
   // Transfers that a warm machine of its like carries, on the low side.
   double carries(const Machine& m) const {
     if (weighed) return m.weight;
-    double least = 0;
-    int like = 0;
+    double least = m.room.fits;
     for (const Machine* other : m.role == Role::parent ? parents : stores)
-      if (other != &m && other->kind == m.kind && !coldTerms(*other)) {
-        least = like++ ? std::min(least, other->room.fits) : other->room.fits;
-      }
-    return like ? least : m.room.fits;
+      if (other->kind == m.kind && !coldTerms(*other)) least = std::min(least, other->room.fits);
+    return least;
   }
 
   // The rule counts work over every window of the stated length. Half of this front's share is used:
@@ -370,7 +344,8 @@
     while (!m.spent.empty() && m.spent.front().first < now - coldWindow) m.spent.pop_front();
     double sum = work;
     for (auto& [at, w] : m.spent) sum += w;
-    return sum <= prudence * t->share * t->multiple * carries(m) * warmth(m) * coldWindow;
+    int sharers = m.role == Role::parent ? fronts : crew;
+    return sum <= prudence * t->multiple * carries(m) * warmth(m) * coldWindow / sharers;
   }
 
   void charge(Machine& m, Ms work) {
@@ -388,10 +363,10 @@
 
   // Guards against whatever makes a machine fail legs in a row: a crash the list has not told, a refused
   // port, a break. Harm: a machine that only ran out of connections rests for a moment too.
-  void strike(Machine& m, int by) {
+  void strike(Machine& m) {
     constexpr int limit = 2;  // one failure may be chance, two in a row are not
     constexpr Ms firstPause = second / 4, longestPause = 4 * second;  // short beside the list's own delay
-    m.strikes += by;
+    ++m.strikes;
     m.answers = 0;
     m.trialOut = false;
     if (m.aside ? now < m.asideUntil : m.strikes < limit) return;
@@ -399,7 +374,7 @@
     if (!m.aside) say("set aside", m);
     m.aside = true;
     m.asideUntil = now + m.pause;
-    if (may.probe) act(WakeMe{m.asideUntil, wakeMachine << 56 | m.id});
+    if (may.probe) act(WakeMe{m.asideUntil, wakeMachine << 56 | m.cache});
   }
 
   void absolve(Machine& m) {
@@ -409,19 +384,19 @@
     say("is back", m);
   }
 
-  void tryAgain(Machine& m) {
-    if (m.aside && m.standing == Standing::ready && affords(m, 1)) act(ProbeCache{m.id});
-    else if (m.aside) act(WakeMe{now + second, wakeMachine << 56 | m.id});
+  void tryAgain(const Machine& m) {
+    if (!m.aside) return;
+    if (m.standing == Standing::ready) act(ProbeCache{m.cache});
+    else act(WakeMe{now + second, wakeMachine << 56 | m.cache});
   }
 
   void probed(const ProbeEnded& e) {
     auto at = machines.find(e.cache);
     if (at == machines.end() || !at->second.aside) return;
-    Machine& m = at->second;
-    if (!e.answered) return strike(m, 1);
-    ++m.answers;
-    absolve(m);
-    if (m.aside) act(WakeMe{now + second / 10, wakeMachine << 56 | m.id});
+    if (!e.answered) return strike(at->second);
+    ++at->second.answers;
+    absolve(at->second);
+    if (at->second.aside) act(WakeMe{now + second / 10, wakeMachine << 56 | e.cache});
   }
 
   // ---- cache choice
@@ -437,7 +412,7 @@
   // agreed time. Long pulls bear least, and a poor payoff for the work takes some off, so in overload those
   // are declined first that earn least for what they take.
   double bearable(const Pull& p) const {
-    double ratio = (p.ware->terms.payoff / std::max(p.sending, 1.0)) / (meanPayoff / std::max(meanWork, 1.0));
+    double ratio = (p.ware->payoff / std::max(p.sending, 1.0)) / (meanPayoff / std::max(meanWork, 1.0));
     double stretch = (p.agreedAt - now) / std::max(p.sending, 1.0);
     constexpr double margin = 0.8;  // the level is an estimate, and rises while the pull is under way
     return std::clamp(margin * stretch * std::clamp(std::pow(ratio, 0.2), 0.7, 1.3), 1.2, 5.0);
@@ -445,7 +420,7 @@
 
   // Rule 2: where a further leg of this pull may go.
   bool mayGo(const Pull& p, const Machine& m) const {
-    const Offering& o = p.ware->terms;
+    const Offering& o = *p.ware;
     for (const Leg& leg : p.legs) {
       if (leg.neverRan) continue;
       if (leg.out && !may.twoLegsAtOnce) return false;
@@ -493,7 +468,7 @@
   Machine* chooseSource(Pull& p, const Machine* at) {
     Ms work = p.ware->meanSending;
     auto open = [&](Machine* m) { return usable(*m) && !p.hasFailed(m) && affords(*m, work); };
-    if (p.ware->terms.neverKept && origin && open(origin)) return origin;
+    if (p.ware->neverKept && origin && open(origin)) return origin;
     if (lateral && !p.siblingLacked && p.lastAt && at && p.lastAt != at && p.lastAt->role == Role::store &&
         p.gap < p.ware->omega && purgedAt(p) == longAgo && open(p.lastAt) && level(*p.lastAt) < 1.5)
       return p.lastAt;
@@ -525,11 +500,9 @@
   void arrive(const PullCame& e) {
     if (e.offering >= static_cast<int>(wares.size()) || pulls.count(e.pull)) return;
     Pull& p = pulls[e.pull];
-    p.id = e.pull;
+    static_cast<PullCame&>(p) = e;
     p.ware = &wares[static_cast<std::size_t>(e.offering)];
     Ware& w = *p.ware;
-    p.object = e.object;
-    p.group = e.group;
     p.expiresAt = now + e.ttl;
     p.memory = recall(e.object, e.part);
     Memory& m = *p.memory;
@@ -547,11 +520,11 @@
     } else {
       p.sending = p.whole->sending > 0 ? p.whole->sending : w.meanSending;
     }
-    p.agreedAt = now + std::min(w.terms.agreed + w.terms.agreedStretch * p.sending, w.terms.expiry);
+    p.agreedAt = now + std::min(w.agreed + w.agreedStretch * p.sending, w.expiry);
     p.rank = rankOf(p);
-    meanPayoff += 0.01 * (w.terms.payoff - meanPayoff);  // about the last hundred pulls
+    meanPayoff += 0.01 * (w.payoff - meanPayoff);  // about the last hundred pulls
     meanWork += 0.01 * (p.sending - meanWork);
-    act(WakeMe{std::max(now, p.expiresAt - beforeExpiry), wakePull << 56 | p.id});
+    act(WakeMe{std::max(now, p.expiresAt - beforeExpiry), wakePull << 56 | p.pull});
     tend(p);
     forget(p);
   }
@@ -572,11 +545,11 @@
       if (leg.source->aside) leg.source->trialOut = true;
     }
     SendLeg a;
-    a.pull = p.id;
-    a.cache = at.id;
-    a.source = source ? source->id : at.id;
+    a.pull = p.pull;
+    a.cache = at.cache;
+    a.source = source ? source->cache : at.cache;
     a.join = may.join;
-    a.renew = p.ware->terms.freshFor > 0;
+    a.renew = p.ware->freshFor > 0;
     a.rank = p.rank;
     a.oldest = oldest(p);
     a.patience = std::max(1.0, p.expiresAt - now);
@@ -586,7 +559,7 @@
 
   bool sendNext(Pull& p) {
     if (static_cast<int>(p.legs.size()) >= mostLegs) return false;
-    if (p.ware->terms.neverKept && may.direct && origin && usable(*origin) && !p.hasFailed(origin) &&
+    if (p.ware->neverKept && may.direct && origin && usable(*origin) && !p.hasFailed(origin) &&
         mayGo(p, *origin))
       return send(p, *origin, origin), true;
     bool crowded = false;
@@ -617,16 +590,16 @@
   void tend(Pull& p) {
     if (p.ended || p.streaming) return;
     if (now >= p.expiresAt - beforeExpiry) return giveUp(p, 0);
-    if (p.legsOut() == 0 && !sendNext(p)) giveUp(p, p.ware->meanSending);
+    if (!p.legOut() && !sendNext(p)) giveUp(p, p.ware->meanSending);
   }
 
   void giveUp(Pull& p, Ms retryAfter) {
-    bool harmless = p.ware->terms.effect == Effect::rerunnable ||
-                    (p.ware->terms.effect == Effect::ticketed && p.ware->terms.span == Span::everywhere);
+    bool harmless = p.ware->effect == Effect::rerunnable ||
+                    (p.ware->effect == Effect::ticketed && p.ware->span == Span::everywhere);
     if (!harmless)
       harmless = std::all_of(p.legs.begin(), p.legs.end(), [](const Leg& l) { return l.neverRan; });
-    if (harmless) act(DeclinePull{p.id, std::min(retryAfter, retryLimit)});
-    else act(AbandonPull{p.id});
+    if (harmless) act(DeclinePull{p.pull, std::min(retryAfter, retryLimit)});
+    else act(AbandonPull{p.pull});
     finish(p);
   }
 
@@ -638,7 +611,7 @@
 
   void callOff(const Pull& p, int except) {
     for (int i = 0; i < static_cast<int>(p.legs.size()); ++i)
-      if (may.cancel && i != except && p.legs[static_cast<std::size_t>(i)].out) act(CancelLeg{p.id, i});
+      if (may.cancel && i != except && p.legs[static_cast<std::size_t>(i)].out) act(CancelLeg{p.pull, i});
   }
 
   Pull* known(std::uint32_t id) {
@@ -647,10 +620,10 @@
   }
 
   void forget(Pull& p) {
-    if (!p.ended || p.legsOut() > 0) return;
+    if (!p.ended || p.legOut()) return;
     --p.memory->pins;
     --p.whole->pins;
-    pulls.erase(p.id);
+    pulls.erase(p.pull);
   }
 
   void legEnded(const LegEnded& e) {
@@ -669,7 +642,7 @@
       bool filled = e.remark == Remark::filled || e.remark == Remark::filledByOrigin;
       bool hit = e.remark == Remark::hit || e.remark == Remark::joined || e.remark == Remark::aged;
       if (filled && leg.source) absolve(*leg.source);
-      if (leg.at->role == Role::store && !p.ware->terms.neverKept) {
+      if (leg.at->role == Role::store && !p.ware->neverKept) {
         Memory& m = *p.memory;
         if (tellsFills && (hit || filled)) learnOmega(p, leg, hit);
         Ms own = p.ware->sendingSeen ? p.sending : p.whole->sending;
@@ -710,12 +683,12 @@
       p.siblingLacked |= sibling;
       p.failed.push_back(source);
       if (e.remark == Remark::sourceRefused) source->fullUntil = now + second / 10;
-      if (e.remark == Remark::sourceLost) strike(*source, 1);
+      if (e.remark == Remark::sourceLost) strike(*source);
     } else if (e.ending == Ending::full) {
       leg.at->fullUntil = now + second / 20;  // its queue needs a moment
       p.failed.push_back(leg.at);
     } else if (e.ending != Ending::cancelled && e.ending != Ending::moot) {
-      strike(*leg.at, 1);
+      strike(*leg.at);
       p.failed.push_back(leg.at);
     }
   }
--- a/src/logic.hpp
+++ b/src/logic.hpp
@@ -35,6 +35,12 @@
   bool probe = false, cancel = false, twoLegsAtOnce = false, join = false, direct = false;
 };
 
+// How a machine starts cold, and what all fronts together may send it in any window of the stated length.
+struct ColdTerms {
+  double from = 1, multiple = 0;  // of its capacity at start; of its present capacity
+  Ms lasts = 0;
+};
+
 // What the deployment hands over at start. The module keeps figures derived from it, not the sheet.
 struct StoreSheet {
   std::vector<Offering> offerings;
@@ -52,10 +58,8 @@
   double streamKbPerMs = 0;
   std::vector<double> linkKbPerMs;  // by zone; 0: not told
   Ms purgeDone = 0;
-  double coldFrom = 1, coldMultiple = 0;
-  Ms coldFor = 0, coldWindow = 0;
-  double parentFrom = 1, parentMultiple = 0;
-  Ms parentColdFor = 0;
+  ColdTerms coldStore, coldParent;
+  Ms coldWindow = 0;
 };
 
 // ---- what happened
