--- /dev/null
+++ b/tests/kit.hpp
@@ -0,0 +1,85 @@
+// Helpers of the tests: a small store, and a front that is told things and asked what it did.
+#pragma once
+#include <cassert>
+#include <cstdio>
+#include <set>
+
+#include "logic.hpp"
+
+namespace kit {
+using namespace dunlinwick;
+
+constexpr int storeKind = 0, parentKind = 1, originKind = 2;
+
+inline StoreSheet sheet() {
+  StoreSheet s;
+  Offering video, write;
+  video.agreed = 500, video.agreedStretch = 2, video.expiry = 5000, video.payoff = 2;
+  write.effect = Effect::exclusive, write.agreed = 700, write.expiry = 3000, write.payoff = 3;
+  write.neverKept = true;
+  s.offerings = {video, write};
+  s.zone = 1, s.fronts = 2, s.crewByZone = {0, 1, 1};
+  s.parentKind = parentKind, s.originKind = originKind;
+  s.weighing = Weighing::nominal;
+  s.may = {true, true, true, false, true};
+  s.mostLegs = 8, s.lateral = Reach::location, s.detail = Detail::all;
+  s.streamKbPerMs = 10, s.linkKbPerMs = {0, 150, 150}, s.purgeDone = 6000;
+  s.coldStore = {0.3, 2, 15000}, s.coldParent = {0.1, 2, 20000}, s.coldWindow = 1000;
+  return s;
+}
+
+inline ListEntry entry(std::uint32_t id, int kind, int zone, Standing standing = Standing::ready,
+                       Ms startedAt = 0) {
+  ListEntry e;
+  e.cache = id, e.kind = kind, e.zone = zone, e.standing = standing, e.startedAt = startedAt;
+  e.weight = kind == storeKind ? 6 : 30;
+  return e;
+}
+
+// Caches 11 to 14, parents 21 and 22, origin 31.
+inline ListNews list() {
+  ListNews news{Listing::whole, {}};
+  for (std::uint32_t id : {11, 12, 13, 14}) news.entries.push_back(entry(id, storeKind, 1));
+  for (std::uint32_t id : {21, 22}) news.entries.push_back(entry(id, parentKind, 0));
+  news.entries.push_back(entry(31, originKind, 0));
+  return news;
+}
+
+struct Front {
+  Router router;
+  Ms now = 1e6;
+  std::uint32_t lastPull = 0;
+  std::vector<Action> did;  // by the last event
+
+  explicit Front(StoreSheet s = sheet(), std::uint64_t seed = 1, ListNews news = list()) : router(s, seed) {
+    tell(news);
+  }
+  void tell(const Event& e) { did = router.handle(now, e); }
+  template <class A>
+  std::vector<A> all() const {
+    std::vector<A> found;
+    for (const Action& a : did)
+      if (auto* one = std::get_if<A>(&a)) found.push_back(*one);
+    return found;
+  }
+  // The leg that a new pull leads to; cache 0 when it leads to none.
+  SendLeg pull(std::uint64_t object, int offering = 0, double sizeKb = 1000, Ms ttl = 4000, int part = 0) {
+    PullCame p;
+    p.pull = ++lastPull, p.offering = offering, p.object = object, p.ttl = ttl, p.sizeKb = sizeKb,
+    p.part = part;
+    p.group = 7;
+    tell(p);
+    return leg();
+  }
+  SendLeg leg() const { return all<SendLeg>().empty() ? SendLeg{} : all<SendLeg>().front(); }
+  bool declined() const { return !all<DeclinePull>().empty(); }
+  bool abandoned() const { return !all<AbandonPull>().empty(); }
+  void end(const SendLeg& a, Ending ending, Remark remark = Remark::none, int leg = 0, Ms took = 105) {
+    LegEnded e;
+    e.pull = a.pull, e.cache = a.cache, e.leg = leg, e.ending = ending, e.remark = remark, e.took = took;
+    e.final = ending == Ending::finished;
+    tell(e);
+  }
+  void finish(const SendLeg& a, Remark remark = Remark::hit) { end(a, Ending::finished, remark); }
+};
+}  // namespace kit
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -1,2 +1,318 @@
-#include <cassert>
-int main(){}
+#include "kit.hpp"
+
+using namespace kit;
+
+static void oneFinalAnswerInTime() {
+  Front f;
+  SendLeg a = f.pull(1);
+  assert(a.cache != 0);
+  f.now += 4000 - 3;  // nothing came: the answer goes out before the client leaves, and the leg is called off
+  f.tell(WakeUp{std::uint64_t{1} << 56 | a.pull});
+  assert(f.declined() && f.all<CancelLeg>().size() == 1);
+  f.end(a, Ending::cancelled);
+  assert(f.did.empty());
+  f.tell(WakeUp{std::uint64_t{1} << 56 | a.pull});
+  assert(f.did.empty());
+  f.end(a, Ending::finished);  // news of a pull already ended, of unknown legs and caches, and stale timers
+  f.tell(ClientLeft{a.pull});
+  f.tell(ProbeEnded{99, true, 1, {}});
+  f.tell(WakeUp{~std::uint64_t{0}});
+  f.tell(ListNews{Listing::whole, {}});
+  assert(f.did.empty());
+  assert(f.pull(2).cache == 0 && f.declined());  // an empty list: answered at once
+}
+
+// What an exclusive pull may do after each ending of its leg.
+static void noEffectTwice() {
+  struct Case {
+    Ending ending;
+    bool proven;
+  };
+  for (Case c : {Case{Ending::error, false},
+                 {Ending::full, true},
+                 {Ending::timedOut, false},
+                 {Ending::noConnection, true},
+                 {Ending::broken, false},
+                 {Ending::cancelled, false},
+                 {Ending::miss, true}}) {
+    Front f;
+    SendLeg a = f.pull(1, 1);
+    assert(a.cache == 31);  // it runs at the origin
+    f.end(a, c.ending);
+    assert((f.leg().cache != 0 || f.declined()) == c.proven);
+    assert(f.abandoned() == !c.proven);
+  }
+  Front f;
+  SendLeg a = f.pull(1, 1);
+  f.now += 3999;
+  f.tell(WakeUp{std::uint64_t{1} << 56 | a.pull});
+  assert(f.abandoned() && !f.declined());
+}
+
+// A ticketed pull that may have run stays in its group, and within the memory of it.
+static void ticketsStayInTheirGroup() {
+  for (Span span : {Span::everywhere, Span::cell}) {
+    for (Ms later : {10.0, 9000.0}) {
+      StoreSheet s = sheet();
+      s.offerings[0].effect = Effect::ticketed, s.offerings[0].span = span, s.offerings[0].memory = 5000;
+      ListNews news = list();
+      for (ListEntry& e : news.entries) e.cell = static_cast<int>(e.cache);
+      Front f(s, 1, news);
+      SendLeg a = f.pull(1, 0, 1000, 20000);
+      f.now += later;
+      f.end(a, Ending::error);
+      bool may = span == Span::everywhere && later < 5000;
+      assert((f.leg().cache != 0) == may);
+      if (!may) assert(f.declined() == (span == Span::everywhere));
+    }
+  }
+}
+
+static void drainsKept() {
+  for (Standing standing : {Standing::draining, Standing::gone}) {
+    Front f;
+    ListNews news{Listing::changes, {entry(11, storeKind, 1, standing), entry(21, parentKind, 0, standing)}};
+    for (std::uint64_t o = 1; o <= 40; ++o) f.finish(f.pull(o), Remark::filled);
+    f.tell(news);
+    for (std::uint64_t o = 1; o <= 40; ++o) {
+      SendLeg a = f.pull(o);
+      assert(a.cache != 0 && a.cache != 11 && a.source != 11 && a.source != 21);
+      f.finish(a);
+    }
+  }
+}
+
+// Work sent to a cold cache, and fills asked of a cold parent, in any window, against this front's share.
+static void coldMachinesSpared() {
+  for (bool parent : {false, true}) {
+    Front f;
+    std::uint32_t cold = parent ? 21 : 11;
+    f.tell(ListNews{Listing::changes,
+                    {entry(cold, parent ? parentKind : storeKind, parent ? 0 : 1, Standing::ready, f.now)}});
+    double sent = 0, share = parent ? 0.5 : 1, weight = parent ? 30 : 6, from = parent ? 0.1 : 0.3;
+    for (std::uint64_t o = 1; o <= 400; ++o) {
+      f.now += 1;
+      SendLeg a = f.pull(o);
+      if (a.cache == cold || a.source == cold) sent += 100;
+      if (a.cache) f.finish(a);
+    }
+    assert(sent > 0 && sent <= share * 2 * weight * (from + 0.03) * 1000);
+  }
+}
+
+static void purgesKept() {
+  Front f;
+  struct Case {
+    bool group;
+    Ms ago, later, least, most;
+  };
+  for (Case c : {Case{false, 100, 50, 1, 150},
+                 {true, 100, 50, 1, 150},
+                 {false, 0, 0, 1e-9, 1},
+                 {true, 300, 20000, 0, 0}}) {
+    f.now += 60000;
+    Purged p;
+    p.wholeGroup = c.group, p.object = c.group ? 0 : 5, p.group = 7, p.ago = c.ago;
+    f.tell(p);
+    f.now += c.later;
+    SendLeg a = f.pull(5);
+    assert(a.oldest >= c.least && a.oldest <= c.most);
+    f.finish(a);
+  }
+}
+
+static void homesAreSharedAndSteady() {
+  Front f(sheet(), 1), g(sheet(), 99);
+  std::set<std::uint32_t> used, parents;
+  std::vector<SendLeg> before;
+  for (std::uint64_t o = 1; o <= 200; ++o) {
+    SendLeg a = f.pull(o), b = g.pull(o);
+    assert(a.cache == b.cache && a.source == b.source);
+    used.insert(a.cache), parents.insert(a.source), before.push_back(a);
+    f.finish(a), g.finish(b);
+  }
+  assert(used.size() == 4 && parents.size() == 2);
+  f.tell(ListNews{Listing::changes, {entry(12, storeKind, 1, Standing::gone)}});
+  for (std::uint64_t o = 1; o <= 200; ++o) {
+    SendLeg a = f.pull(o);
+    assert(a.cache == before[o - 1].cache || before[o - 1].cache == 12);  // only its own objects move
+    f.finish(a);
+  }
+}
+
+// A part finished elsewhere within omega is filled from there, and from the parent when the sibling lacks it.
+static void movedHomesFillFromSiblings() {
+  Front f;
+  f.tell(ListNews{Listing::changes, {entry(12, storeKind, 1, Standing::draining)}});
+  std::vector<SendLeg> first;
+  for (std::uint64_t o = 1; o <= 40; ++o) first.push_back(f.pull(o)), f.finish(first.back(), Remark::filled);
+  f.tell(ListNews{Listing::changes, {entry(12, storeKind, 1)}});
+  bool moved = false;
+  for (std::uint64_t o = 1; o <= 40; ++o) {
+    SendLeg a = f.pull(o);
+    if (a.cache == 12) {
+      assert(a.source == first[o - 1].cache);
+      f.end(a, Ending::miss, Remark::sourceLacks);
+      SendLeg again = f.leg();
+      assert(again.cache == 12 && (again.source == 21 || again.source == 22));
+      f.end(again, Ending::finished, Remark::filled, 1);
+      moved = true;
+    } else {
+      f.finish(a);
+    }
+  }
+  assert(moved);
+}
+
+static void ranksFollowHeldChance() {
+  Front f;
+  int ranks[4] = {};
+  for (int i = 0; i < 20; ++i) {
+    f.now += 500;
+    SendLeg a = f.pull(1);
+    assert(a.rank >= 1 && a.rank <= 3);
+    ++ranks[a.rank];
+    f.finish(a);
+  }
+  assert(ranks[1] > 0 && ranks[3] > 0 && f.pull(1).rank == 3 && f.pull(2).rank == 1);
+}
+
+// Omega falls on misses at short gaps, but not on those of a cache that started lately.
+static void omegaLearnsFromWarmCachesOnly() {
+  for (bool cold : {false, true}) {
+    Front f;
+    ListNews news = list();
+    if (cold)
+      for (ListEntry& e : news.entries) e.startedAt = f.now - 10000;
+    f.tell(news);
+    for (int round = 0; round < 30; ++round)
+      for (std::uint64_t o = 1; o <= 5; ++o) {
+        f.now += 20;
+        f.finish(f.pull(o), Remark::filled);
+      }
+    f.now += 1000;
+    int most = 0;
+    for (int i = 0; i < 3; ++i) {
+      SendLeg a = f.pull(1000);
+      most = std::max(most, a.rank);
+      f.finish(a);
+    }
+    assert(cold ? most > 1 : most == 1);
+  }
+}
+
+static void failingCachesRestAndComeBack() {
+  for (bool probes : {true, false}) {
+    StoreSheet s = sheet();
+    s.may.probe = probes;
+    Front f(s);
+    std::uint64_t object = 1;
+    std::uint32_t bad = f.pull(object).cache;
+    f.end({f.lastPull, bad}, Ending::noConnection);
+    assert(f.leg().cache != bad);
+    f.end(f.leg(), Ending::finished, Remark::hit, 1);
+    SendLeg second = f.pull(object);
+    f.end(second, Ending::noConnection);
+    f.end(f.leg(), Ending::finished, Remark::hit, 1);
+    SendLeg passed = f.pull(object);
+    assert(passed.cache != bad);
+    f.finish(passed);
+    f.now += 300;
+    if (probes) {
+      for (int i = 0; i < 2; ++i) {
+        f.tell(WakeUp{std::uint64_t{2} << 56 | bad});
+        assert(f.all<ProbeCache>().size() == 1);
+        f.tell(ProbeEnded{bad, true, 1, {}});
+      }
+    }
+    SendLeg trial = f.pull(object);
+    assert(trial.cache == bad);
+    if (!probes) assert(f.pull(object).cache != bad);  // one trial at a time
+    f.end(trial, Ending::finished, Remark::hit);
+    SendLeg back = f.pull(object);
+    assert(back.cache == bad);
+  }
+}
+
+// When fills crowd the link a pull first looks; a miss is filled while its agreed time can be met, else
+// declined.
+static void crowdedLinkLooksFirst() {
+  Front f;
+  std::uint64_t object = 1;
+  auto isLook = [](const SendLeg& a) { return a.cache == a.source; };
+  SendLeg a = f.pull(object);
+  assert(!isLook(a));
+  int looks = 0, fills = 0, declines = 0;
+  for (int i = 0; i < 200; ++i) {
+    a = f.pull(++object, 0, 2000);
+    if (a.cache == 0 || !isLook(a)) continue;
+    ++looks;
+    f.end(a, Ending::miss);
+    f.leg().cache ? ++fills : ++declines;
+  }
+  assert(looks > 0 && fills > 0 && declines > 0);
+}
+
+// No place for a fill is no fault of the cache: hits still go there.
+static void fullFillPlacesAreNoFault() {
+  Front f;
+  SendLeg a = f.pull(1);
+  for (int i = 0; i < 3; ++i) f.end(f.pull(1), Ending::full, Remark::noFillPlace);
+  assert(f.pull(1).cache == a.cache);
+}
+
+static void slowCachesArePassedOver() {
+  Front f;
+  std::uint32_t slow = f.pull(1).cache;
+  f.finish({1, slow});
+  for (int i = 0; i < 60; ++i) {
+    SendLeg a = f.pull(1);
+    f.end(a, Ending::finished, Remark::hit, 0, a.cache == slow ? 2000 : 105);
+  }
+  assert(f.pull(1).cache != slow);
+}
+
+// Without parents, probes, reports, weights, direct routes or a told link; the list only when asked for.
+static void worksWithoutTheExtras() {
+  StoreSheet s = sheet();
+  s.parentKind = -1, s.may = {}, s.weighing = Weighing::none, s.lateral = Reach::none,
+  s.detail = Detail::none;
+  s.linkKbPerMs.clear(), s.crewByZone.clear(), s.asksForList = true;
+  ListNews news = list();
+  Front f(s, 1, {Listing::remembered, {news.entries[0], news.entries[1], news.entries[6]}});
+  assert(f.all<FollowList>().size() == 1);
+  SendLeg a = f.pull(1);
+  assert((a.cache == 11 || a.cache == 12) && a.source == 31);
+  f.tell(LegStarted{a.pull, a.cache, 0});
+  f.now += 9000;
+  f.tell(WakeUp{std::uint64_t{1} << 56 | a.pull});
+  assert(f.did.empty());  // a stream that has started is not called off
+  f.finish(a);
+  f.tell(ListNews{Listing::failed, {}});
+  assert(f.all<WakeMe>().size() == 1);
+}
+
+int main() {
+  struct Case {
+    const char* name;
+    void (*run)();
+  };
+  for (Case c : {Case{"one final answer in time", oneFinalAnswerInTime},
+                 {"no effect twice", noEffectTwice},
+                 {"tickets stay in their group", ticketsStayInTheirGroup},
+                 {"drains kept", drainsKept},
+                 {"cold machines spared", coldMachinesSpared},
+                 {"purges kept", purgesKept},
+                 {"homes are shared and steady", homesAreSharedAndSteady},
+                 {"moved homes fill from siblings", movedHomesFillFromSiblings},
+                 {"ranks follow held chance", ranksFollowHeldChance},
+                 {"omega learns from warm caches only", omegaLearnsFromWarmCachesOnly},
+                 {"failing caches rest and come back", failingCachesRestAndComeBack},
+                 {"a crowded link looks first", crowdedLinkLooksFirst},
+                 {"full fill places are no fault", fullFillPlacesAreNoFault},
+                 {"slow caches are passed over", slowCachesArePassedOver},
+                 {"works without the extras", worksWithoutTheExtras}}) {
+    std::puts(c.name);
+    c.run();
+  }
+}
