--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -571,6 +571,7 @@
       // Guards against any surge of misses (cold caches, purges, scans, large objects). Harm: a look costs a
       // round trip.
       constexpr double pressed = 0.8;
+      if (!source && p.knownMiss) return false;  // nothing can fill it: looking on elsewhere only adds legs
       if (source && source->role != Role::store) {
         double link = linkLevel();
         if (!p.knownMiss && link > pressed && static_cast<int>(p.legs.size()) + 1 < mostLegs)
