Set silent machines aside; sources come back by trial fills

Cause: sources that answer probes but swallow fills flapped; each stuck fill held a fill place until its time-out. Told from link trouble: one parent's fills alone never ended. It ought to guard against cut links and half-dead caches as well; it could harm when everything slows at once.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -62,6 +62,7 @@
   int strikes = 0, answers = 0;
   bool aside = false, trialOut = false;
   Ms asideUntil = 0, pause = 0, fullUntil = 0;
+  Ms lastGood = longAgo;  // when the latest leg was sent that it answered, or filled as a source
 };
 
 // What is known of one part of one object; the oldest is dropped when the table is full.
@@ -358,7 +359,30 @@
   bool usable(const Machine& m) const {
     if (m.standing != Standing::ready) return false;
     if (!m.aside) return now >= m.fullUntil;
-    return !may.probe && now >= m.asideUntil && !m.trialOut;  // without probes: one trial pull at a time
+    // Coming back: a cache after probes; without probes, and as a source, by one trial leg at a time.
+    return (may.probe ? m.answers >= 2 : now >= m.asideUntil) && !m.trialOut;
+  }
+
+  // Three legs overdue and none answered that was sent as late. Guards against whatever makes a machine or
+  // the way to it swallow legs without an ending: it would hold fill places and clients until time-outs.
+  // Harm: when everything turns slow at once, the first judged may only be the first to be asked.
+  bool silent(const Machine& m) const {
+    constexpr int limit = 3;          // more than chance, few enough to tell within a second
+    constexpr Ms grace = second / 3;  // longer than the pauses of a busy machine
+    int overdue = 0;
+    double crowd = std::max(1.0, linkLevel());
+    for (auto& [id, p] : pulls)
+      for (const Leg& leg : p.legs)
+        overdue += leg.out && (leg.at == &m || leg.source == &m) && leg.sentAt > m.lastGood &&
+                   now - leg.sentAt > 3 * p.sending * crowd + grace;
+    return overdue >= limit;
+  }
+
+  bool judge(Machine& m) {
+    if (m.aside || !silent(m)) return usable(m);
+    m.strikes += 2;
+    strike(m);
+    return false;
   }
 
   // Guards against whatever makes a machine fail legs in a row: a crash the list has not told, a refused
@@ -380,6 +404,7 @@
   void absolve(Machine& m) {
     m.strikes = 0;
     if (!m.aside || (may.probe && m.answers < 2)) return;  // with probes: back only after two answered
+    m.answers = 0;
     m.aside = m.trialOut = false;
     say("is back", m);
   }
@@ -394,9 +419,8 @@
     auto at = machines.find(e.cache);
     if (at == machines.end() || !at->second.aside) return;
     if (!e.answered) return strike(at->second);
-    ++at->second.answers;
-    absolve(at->second);
-    if (at->second.aside) act(WakeMe{now + second / 10, wakeMachine << 56 | e.cache});
+    if (++at->second.answers < 2) return act(WakeMe{now + second / 10, wakeMachine << 56 | e.cache});
+    if (at->second.role == Role::store) absolve(at->second);
   }
 
   // ---- cache choice
@@ -438,8 +462,7 @@
   Machine* chooseStore(Pull& p, bool& crowded) {
     std::vector<Machine*> open;
     for (Machine* m : inOrder(stores, p.object))
-      if (usable(*m) && !p.hasFailed(m) && mayGo(p, *m) && affords(*m, p.ware->meanSending))
-        open.push_back(m);
+      if (judge(*m) && !p.hasFailed(m) && mayGo(p, *m) && affords(*m, p.ware->meanSending)) open.push_back(m);
     crowded = false;
     if (open.empty()) return nullptr;
     double held = 0, room = 0;
@@ -467,7 +490,7 @@
   // has moved; else the object's parent, moving on in hash order; else the origin. nullptr: no fill.
   Machine* chooseSource(Pull& p, const Machine* at) {
     Ms work = p.ware->meanSending;
-    auto open = [&](Machine* m) { return usable(*m) && !p.hasFailed(m) && affords(*m, work); };
+    auto open = [&](Machine* m) { return judge(*m) && !p.hasFailed(m) && affords(*m, work); };
     if (p.ware->neverKept && origin && open(origin)) return origin;
     if (lateral && !p.siblingLacked && p.lastAt && at && p.lastAt != at && p.lastAt->role == Role::store &&
         p.gap < p.ware->omega && purgedAt(p) == longAgo && open(p.lastAt) && level(*p.lastAt) < 1.5)
@@ -638,11 +661,18 @@
     if (leg.source) --leg.source->feeding;
     leg.neverRan = e.ending == Ending::full || e.ending == Ending::noConnection || e.ending == Ending::moot ||
                    e.ending == Ending::miss;
+    leg.at->trialOut = false;
+    if (leg.source) leg.source->trialOut = false;
+    if (e.ending == Ending::finished || e.ending == Ending::miss || e.ending == Ending::full)
+      leg.at->lastGood = std::max(leg.at->lastGood, leg.sentAt);
     if (e.ending == Ending::finished) {
       absolve(*leg.at);
       bool filled = e.remark == Remark::filled || e.remark == Remark::filledByOrigin;
       bool hit = e.remark == Remark::hit || e.remark == Remark::joined || e.remark == Remark::aged;
-      if (filled && leg.source) absolve(*leg.source);
+      if (filled && leg.source) {
+        leg.source->lastGood = std::max(leg.source->lastGood, leg.sentAt);
+        absolve(*leg.source);
+      }
       if (leg.at->role == Role::store && !p.ware->neverKept) {
         Memory& m = *p.memory;
         if (tellsFills && (hit || filled)) learnOmega(p, leg, hit);
