--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -37,18 +37,25 @@
 };
 
 // Room: how many transfers a machine or link carries at full pace. A crowded answer shows it (held over
-// stretch), an uncrowded one that it is at least what was held; else it creeps back to what goes by size.
+// stretch), an uncrowded one that it is at least what was held; unused, it goes back to what goes by size.
 // Guards against slow, pausing and overrated machines alike. Harm: one slow way to a client looks like a slow
 // machine for some answers.
 struct Room {
   double nominal = 0, fits = 0;
-  void learn(double held, Ms own, Ms took) {
+  Ms learntAt = 0;
+  double carries(Ms now) const {
+    constexpr Ms fade = 5 * second;  // a slow machine is asked again within seconds, by a few pulls first
+    return std::max(0.25, fits + std::max(0.0, nominal - fits) * (1 - std::exp((learntAt - now) / fade)));
+  }
+  void learn(Ms now, double held, Ms own, Ms took) {
     constexpr Ms tooShort = 10;  // below, the way there outweighs the sending
     if (own < tooShort) return;
     double stretch = std::max(1.0, took / own);
+    fits = carries(now);
+    learntAt = now;
     if (stretch > 1.5) fits += 0.1 * (std::min(held / stretch, fits) - fits);
-    if (stretch < 1.25) fits = std::max(fits + 0.02 * (nominal - fits), std::min(held, 1.05 * fits));
-    fits = std::max(fits, 0.25);
+    if (stretch < 1.25) fits = std::max(fits, std::min(held, 1.05 * fits));
+    nominal = std::max(nominal, fits);
   }
 };
 
@@ -63,6 +70,8 @@
   bool aside = false, trialOut = false;
   Ms asideUntil = 0, pause = 0, fullUntil = 0;
   Ms lastGood = longAgo;  // when the latest leg was sent that it answered, or filled as a source
+  double pace = 1;        // how much its fills are stretched
+  Ms paceAt = longAgo;
 };
 
 // What is known of one part of one object; the oldest is dropped when the table is full.
@@ -79,7 +88,7 @@
   Machine* at = nullptr;
   Machine* source = nullptr;  // nullptr: no fill
   Ms sentAt = 0;
-  int heldThen = 0;
+  int heldThen = 0, feedingThen = 0;
   double fillsThen = 0;
   bool out = true, neverRan = false;
 };
@@ -427,10 +436,25 @@
   // ---- cache choice
 
   // Transfers per transfer it can carry, with one more of ours.
+  int sharers(const Machine& m) const { return m.role == Role::store ? crew : fronts; }
   double level(const Machine& m) const {
-    int ours = m.role == Role::store ? m.held : m.feeding;
-    int sharers = m.role == Role::store ? crew : fronts;
-    return (ours * sharers + 1) / (std::max(m.room.fits, 0.25) * warmth(m));
+    return ((m.held + m.feeding) * sharers(m) + 1) / (m.room.carries(now) * warmth(m));
+  }
+
+  // Bounded load: the first in hash order that is at most a quarter over the mean level, and home while a
+  // pull still meets its agreed time there, since a move costs a fill. Else the least crowded.
+  Machine* firstInBounds(const std::vector<Machine*>& open, double& room) const {
+    double held = 0;
+    room = 0;
+    Machine* least = nullptr;
+    for (Machine* m : open) {
+      held += (m->held + m->feeding) * sharers(*m);
+      room += m->room.carries(now) * warmth(*m);
+      if (!least || level(*m) < level(*least)) least = m;
+    }
+    for (Machine* m : open)
+      if (level(*m) <= std::max(1.75, 1.25 * (held + 1) / room)) return m;
+    return least;
   }
 
   // How crowded a machine or link may be for this pull: it is stretched by about the level, and must meet its
@@ -464,27 +488,10 @@
     std::vector<Machine*> open;
     for (Machine* m : inOrder(stores, p.object))
       if (judge(*m) && !p.hasFailed(m) && mayGo(p, *m) && affords(*m, p.ware->meanSending)) open.push_back(m);
-    crowded = false;
-    double held = 0;
-    roomOpen = 0;
-    Machine* least = nullptr;
-    for (Machine* m : open) {
-      held += m->held * crew;
-      roomOpen += m->room.fits * warmth(*m);
-      if (!least || level(*m) < level(*least)) least = m;
-    }
+    Machine* at = firstInBounds(open, roomOpen);
     roomUsual += (roomOpen - roomUsual) * (roomUsual > 0 ? 0.001 : 1);  // about the last thousand choices
-    if (!least) return nullptr;
-    // Bounded load: a quarter over the mean, and not while a pull still meets its agreed time at home, since
-    // a move costs a fill.
-    double bound = std::max(1.75, 1.25 * (held + 1) / std::max(roomOpen, 0.25));
-    for (Machine* m : open)
-      if (level(*m) <= bound) {
-        least = m;
-        break;
-      }
-    crowded = level(*least) > bearable(p);
-    return least;
+    crowded = at && level(*at) > bearable(p);
+    return at;
   }
 
   // ---- source choice
@@ -498,8 +505,11 @@
     if (lateral && !p.siblingLacked && p.lastAt && at && p.lastAt != at && p.lastAt->role == Role::store &&
         p.gap < p.ware->omega && purgedAt(p) == longAgo && open(p.lastAt) && level(*p.lastAt) < 1.5)
       return p.lastAt;
+    std::vector<Machine*> able;
     for (Machine* m : inOrder(parents, p.object))
-      if (open(m)) return m;
+      if (open(m)) able.push_back(m);
+    double room = 0;
+    if (!able.empty()) return firstInBounds(able, room);
     return origin && open(origin) ? origin : nullptr;
   }
 
@@ -518,7 +528,24 @@
   }
 
   // The link is shared by all fills: crowded, it makes every one late, and fill places run out behind it.
-  double linkLevel() const { return (fillsOut() + 1) / std::max(link.fits, 0.5); }
+  double linkLevel() const { return (fillsOut() + 1) / link.carries(now); }
+
+  // A fill is stretched by the link, which all share, and by its source. The best source's pace is laid to
+  // the link, what is worse than that to the source. Guards against parents that slow down or lose part of
+  // their link.
+  void learnFill(const Leg& leg, Ms own, Ms took) {
+    Machine& from = *leg.source;
+    if (own <= 0) return;
+    from.pace += 0.1 * (std::max(1.0, took / own) - from.pace);  // about the last ten fills
+    from.paceAt = now;
+    double best = from.pace;
+    for (const Machine* m : parents)
+      if (now - m->paceAt < 5 * second) best = std::min(best, m->pace);
+    double fed = 0.5 * fronts * (leg.feedingThen + from.feeding + 1);
+    from.room.learn(now, std::max(1.0, fed), own * best, took);
+    double fills = 0.5 * (leg.fillsThen + fillsOut() + crew);
+    if (!linkTold && from.pace <= 1.25 * best) link.learn(now, std::max(1.0, fills), own, took);
+  }
 
   // ---- legs
 
@@ -567,7 +594,7 @@
     charge(at, work);
     if (at.aside) at.trialOut = true;
     if (leg.source) {
-      ++leg.source->feeding;
+      leg.feedingThen = leg.source->feeding++;
       charge(*leg.source, work);
       if (leg.source->aside) leg.source->trialOut = true;
     }
@@ -684,12 +711,11 @@
         if (tellsFills && (hit || filled)) learnOmega(p, leg, hit);
         Ms own = p.ware->sendingSeen ? p.sending : p.whole->sending;
         constexpr Ms theWay = 5;  // connection and network inside a location, on the long side
-        if (!linkTold && filled && leg.source && leg.source->role != Role::store)
-          link.learn(std::max(1.0, 0.5 * (leg.fillsThen + fillsOut() + crew)), own,
-                     e.took - e.waited - theWay);
+        if (filled && leg.source && leg.source->role != Role::store)
+          learnFill(leg, own, e.took - e.waited - theWay);
         if (e.remark == Remark::hit) {
-          leg.at->room.learn(std::max(1.0, 0.5 * crew * (leg.heldThen + leg.at->held + 1)), own,
-                             e.took - theWay);
+          double held = 0.5 * crew * (leg.heldThen + leg.at->held + 1);
+          leg.at->room.learn(now, std::max(1.0, held), own, e.took - theWay);
           if (!p.ware->sendingSeen)
             p.ware->meanSending += 0.02 * (std::min(e.took, 4 * p.ware->meanSending) - p.ware->meanSending);
         }
