--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -41,21 +41,24 @@
 // Guards against slow, pausing and overrated machines alike. Harm: one slow way to a client looks like a slow
 // machine for some answers.
 struct Room {
-  double nominal = 0, fits = 0;
+  double nominal = 0, fits = 0, proven = 0;
   Ms learntAt = 0;
   double carries(Ms now) const {
     constexpr Ms fade = 5 * second;  // a slow machine is asked again within seconds, by a few pulls first
-    return std::max(0.25, fits + std::max(0.0, nominal - fits) * (1 - std::exp((learntAt - now) / fade)));
+    return std::max(0.25,
+                    fits * std::pow(std::max(1.0, nominal / fits), 1 - std::exp((learntAt - now) / fade)));
   }
-  void learn(Ms now, double held, Ms own, Ms took) {
+  // `usual`: how much everything is stretched just now, for reasons that are not this machine's.
+  void learn(Ms now, double held, Ms own, Ms took, double usual = 1) {
     constexpr Ms tooShort = 10;  // below, the way there outweighs the sending
     if (own < tooShort) return;
-    double stretch = std::max(1.0, took / own);
+    double stretch = std::max(1.0, took / (own * usual));
     fits = carries(now);
     learntAt = now;
     if (stretch > 1.5) fits += 0.1 * (std::min(held / stretch, fits) - fits);
     if (stretch < 1.25) fits = std::max(fits, std::min(held, 1.05 * fits));
     nominal = std::max(nominal, fits);
+    proven += 0.1 * std::max(0.0, held / (stretch * usual) - proven);
   }
 };
 
@@ -224,8 +227,11 @@
       m.aside = m.trialOut = false;
       m.room = {};
     }
-    // Weights absent: four transfers, a small machine's worth; crowded and uncrowded answers correct it.
-    m.room.nominal = weighed ? m.weight : 4;
+    // Weights absent: a cache is held to carry four transfers, a small machine's worth, a parent ample;
+    // answers correct both. Until they prove more, cold budgets go by the four.
+    constexpr double small = 4, ample = 200;
+    m.room.nominal = weighed ? m.weight : m.role == Role::store ? small : ample;
+    m.room.proven = std::max(m.room.proven, small);
     if (m.room.fits <= 0) m.room.fits = m.room.nominal;
   }
 
@@ -340,10 +346,11 @@
   // Transfers that a warm machine of its like carries, on the low side.
   double carries(const Machine& m) const {
     if (weighed) return m.weight;
-    double least = m.room.fits;
+    double least = 0;
     for (const Machine* other : m.role == Role::parent ? parents : stores)
-      if (other->kind == m.kind && !coldTerms(*other)) least = std::min(least, other->room.fits);
-    return least;
+      if (other->kind == m.kind && !coldTerms(*other))
+        least = least > 0 ? std::min(least, other->room.proven) : other->room.proven;
+    return least > 0 ? least : m.room.proven;
   }
 
   // The rule counts work over every window of the stated length. Half of this front's share is used:
@@ -541,8 +548,8 @@
     double best = from.pace;
     for (const Machine* m : parents)
       if (now - m->paceAt < 5 * second) best = std::min(best, m->pace);
-    double fed = 0.5 * fronts * (leg.feedingThen + from.feeding + 1);
-    from.room.learn(now, std::max(1.0, fed), own * best, took);
+    double fed = std::max(1.0, 0.5 * fronts * (leg.feedingThen + from.feeding + 1));
+    from.room.learn(now, fed, own, took, best);
     double fills = 0.5 * (leg.fillsThen + fillsOut() + crew);
     if (!linkTold && from.pace <= 1.25 * best) link.learn(now, std::max(1.0, fills), own, took);
   }
