--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -1,24 +1,22 @@
 // All decisions of a dunlinwick front. Router::handle() is the one way in: it takes what happened at `now`
-// and returns what is to be done, in order. Its types stand in logic.hpp; docs/design.md says what follows
-// the design and where it departs. Nothing here reads a clock, does I/O, or knows a name. Reading order:
-// figures at start, machines, memory (rates, omega, ranks), purges, cold budgets, health, cache choice,
-// source choice, legs, and last the events.
+// and returns what is to be done, in order. Its interface is logic.hpp, its records are in records.hpp;
+// docs/design.md says what follows the design and where it departs. Nothing here reads a clock, does I/O, or
+// knows a name. Reading order: figures at start, machines, memory (rates, omega, ranks), purges, cold
+// budgets, health, cache choice, source choice, the link, legs, and last the events.
 #include "logic.hpp"
 
 #include <algorithm>
 #include <cmath>
-#include <cstdio>
-#include <deque>
-#include <limits>
 #include <list>
 #include <map>
 #include <random>
 #include <unordered_map>
 
+#include "records.hpp"
+
 namespace dunlinwick {
 namespace {
 
-constexpr Ms longAgo = -1e15;
 constexpr Ms second = 1000;
 
 std::uint64_t mixed(std::uint64_t x) {  // splitmix64's finisher: the same at all fronts, whatever their seeds
@@ -28,88 +26,27 @@
   return x ^ (x >> 31);
 }
 
-enum class Role { store, parent, origin, foreign };
-
-// One offering's figures, with what has been learnt of it.
-struct Ware : Offering {
-  Ms meanSending = 0, omega = 0;
-  bool sendingSeen = false;
-};
-
 // Room: how many transfers a machine or link carries at full pace. A crowded answer shows it (held over
 // stretch), an uncrowded one that it is at least what was held; unused, it goes back to what goes by size.
 // Guards against slow, pausing and overrated machines alike. Harm: one slow way to a client looks like a slow
 // machine for some answers.
-struct Room {
-  double nominal = 0, fits = 0, proven = 0;
-  Ms learntAt = 0;
-  double carries(Ms now) const {
-    constexpr Ms fade = 5 * second;  // a slow machine is asked again within seconds, by a few pulls first
-    return std::max(0.25,
-                    fits * std::pow(std::max(1.0, nominal / fits), 1 - std::exp((learntAt - now) / fade)));
-  }
-  // `usual`: how much everything is stretched just now, for reasons that are not this machine's.
-  void learn(Ms now, double held, Ms own, Ms took, double usual = 1) {
-    constexpr Ms tooShort = 10;  // below, the way there outweighs the sending
-    if (own < tooShort) return;
-    double stretch = std::max(1.0, took / (own * usual));
-    fits = carries(now);
-    learntAt = now;
-    if (stretch > 1.5) fits += 0.1 * (std::min(held / stretch, fits) - fits);
-    if (stretch < 1.25) fits = std::max(fits, std::min(held, 1.05 * fits));
-    nominal = std::max(nominal, fits);
-    proven += 0.1 * std::max(0.0, held / (stretch * usual) - proven);
-  }
-};
-
-// A machine of the list. Machines are kept for the life of the front: as many as were ever listed.
-struct Machine : ListEntry {
-  Role role = Role::foreign;
-  int held = 0;     // legs of ours that are out there
-  int feeding = 0;  // legs of ours that name it as their source
-  Room room;
-  std::deque<std::pair<Ms, double>> spent;  // cold budget: emptied as the window passes
-  int strikes = 0, answers = 0;
-  bool aside = false, trialOut = false;
-  Ms asideUntil = 0, pause = 0, fullUntil = 0;
-  Ms lastGood = longAgo;  // when the latest leg was sent that it answered, or filled as a source
-  double pace = 1;        // how much its fills are stretched
-  Ms paceAt = longAgo;
-};
-
-// What is known of one part of one object; the oldest is dropped when the table is full.
-struct Memory {
-  std::uint64_t key = 0;
-  Ms lastPull = longAgo;
-  double count = 0;           // pulls, ageing
-  Machine* lastAt = nullptr;  // the cache that finished it last
-  Ms sending = 0;             // of the object, where sizes are not told; 0: not seen
-  int pins = 0;               // pulls under way that point here
-};
-
-struct Leg {
-  Machine* at = nullptr;
-  Machine* source = nullptr;  // nullptr: no fill
-  Ms sentAt = 0;
-  int heldThen = 0, feedingThen = 0;
-  double fillsThen = 0;
-  bool out = true, neverRan = false;
-};
-
-struct Pull : PullCame {
-  Ware* ware = nullptr;
-  Ms expiresAt = 0, agreedAt = 0, sending = 0, gap = 0;
-  Memory *memory = nullptr, *whole = nullptr;  // of the part, and of the object: its parts are of one size
-  Machine* lastAt = nullptr;
-  int rank = 1;
-  bool ended = false, streaming = false, siblingLacked = false, knownMiss = false;
-  std::vector<Leg> legs;
-  std::vector<Machine*> failed;  // caches and sources that failed this pull
-  bool hasFailed(const Machine* m) const { return std::count(failed.begin(), failed.end(), m) > 0; }
-  bool legOut() const {
-    return std::any_of(legs.begin(), legs.end(), [](const Leg& l) { return l.out; });
-  }
-};
+double carries(const Room& r, Ms now) {
+  constexpr Ms fade = 5 * second;  // a slow machine is asked again within seconds, by a few pulls first
+  return std::max(
+      0.25, r.fits * std::pow(std::max(1.0, r.nominal / r.fits), 1 - std::exp((r.learntAt - now) / fade)));
+}
+// `usual`: how much everything is stretched just now, for reasons that are not this machine's.
+void learn(Room& r, Ms now, double held, Ms own, Ms took, double usual = 1) {
+  constexpr Ms tooShort = 10;  // below, the way there outweighs the sending
+  if (own < tooShort) return;
+  double stretch = std::max(1.0, took / (own * usual));
+  r.fits = carries(r, now);
+  r.learntAt = now;
+  if (stretch > 1.5) r.fits += 0.1 * (std::min(held / stretch, r.fits) - r.fits);
+  if (stretch < 1.25) r.fits = std::max(r.fits, std::min(held, 1.05 * r.fits));
+  r.nominal = std::max(r.nominal, r.fits);
+  r.proven += 0.1 * std::max(0.0, held / (stretch * usual) - r.proven);
+}
 
 enum Wake : std::uint64_t { wakePull = 1, wakeMachine = 2, wakeList = 3 };
 
@@ -179,12 +116,10 @@
   }
 
   void say(const char* what, const Machine& m) {
-    if (linesLeft-- <= 0) return;
-    static const char* const roles[] = {"cache", "parent", "origin", "machine"};
-    char line[120];
-    std::snprintf(line, sizeof line, "%s %u %s: strikes %d, legs %d, room %.1f",
-                  roles[static_cast<int>(m.role)], m.cache, what, m.strikes, m.held, m.room.fits);
-    act(WriteLine{line});
+    static const char* const roles[] = {"cache ", "parent ", "origin ", "machine "};
+    if (linesLeft-- > 0)
+      act(WriteLine{roles[static_cast<int>(m.role)] + std::to_string(m.cache) + " " + what + ": strikes " +
+                    std::to_string(m.strikes) + ", legs " + std::to_string(m.held + m.feeding)});
   }
 
   // ---- machines: the list, warmth, and the hash
@@ -344,7 +279,7 @@
   // ---- cold budgets: what a machine that started lately may be sent
 
   // Transfers that a warm machine of its like carries, on the low side.
-  double carries(const Machine& m) const {
+  double coldCapacity(const Machine& m) const {
     if (weighed) return m.weight;
     double least = 0;
     for (const Machine* other : m.role == Role::parent ? parents : stores)
@@ -363,7 +298,7 @@
     double sum = work;
     for (auto& [at, w] : m.spent) sum += w;
     int sharers = m.role == Role::parent ? fronts : crew;
-    return sum <= prudence * t->multiple * carries(m) * warmth(m) * coldWindow / sharers;
+    return sum <= prudence * t->multiple * coldCapacity(m) * warmth(m) * coldWindow / sharers;
   }
 
   void charge(Machine& m, Ms work) {
@@ -445,7 +380,7 @@
   // Transfers per transfer it can carry, with one more of ours.
   int sharers(const Machine& m) const { return m.role == Role::store ? crew : fronts; }
   double level(const Machine& m) const {
-    return ((m.held + m.feeding) * sharers(m) + 1) / (m.room.carries(now) * warmth(m));
+    return ((m.held + m.feeding) * sharers(m) + 1) / (carries(m.room, now) * warmth(m));
   }
 
   // Bounded load: the first in hash order that is at most a quarter over the mean level, and home while a
@@ -456,7 +391,7 @@
     Machine* least = nullptr;
     for (Machine* m : open) {
       held += (m->held + m->feeding) * sharers(*m);
-      room += m->room.carries(now) * warmth(*m);
+      room += carries(m->room, now) * warmth(*m);
       if (!least || level(*m) < level(*least)) least = m;
     }
     for (Machine* m : open)
@@ -535,7 +470,7 @@
   }
 
   // The link is shared by all fills: crowded, it makes every one late, and fill places run out behind it.
-  double linkLevel() const { return (fillsOut() + 1) / link.carries(now); }
+  double linkLevel() const { return (fillsOut() + 1) / carries(link, now); }
 
   // A fill is stretched by the link, which all share, and by its source. The best source's pace is laid to
   // the link, what is worse than that to the source. Guards against parents that slow down or lose part of
@@ -549,9 +484,9 @@
     for (const Machine* m : parents)
       if (now - m->paceAt < 5 * second) best = std::min(best, m->pace);
     double fed = std::max(1.0, 0.5 * fronts * (leg.feedingThen + from.feeding + 1));
-    from.room.learn(now, fed, own, took, best);
+    learn(from.room, now, fed, own, took, best);
     double fills = 0.5 * (leg.fillsThen + fillsOut() + crew);
-    if (!linkTold && from.pace <= 1.25 * best) link.learn(now, std::max(1.0, fills), own, took);
+    if (!linkTold && from.pace <= 1.25 * best) learn(link, now, std::max(1.0, fills), own, took);
   }
 
   // ---- legs
@@ -662,7 +597,9 @@
                     (p.ware->effect == Effect::ticketed && p.ware->span == Span::everywhere);
     if (!harmless)
       harmless = std::all_of(p.legs.begin(), p.legs.end(), [](const Leg& l) { return l.neverRan; });
-    if (harmless) act(DeclinePull{p.pull, std::min(retryAfter, retryLimit)});
+    double spread =
+        0.75 + 0.5 * std::uniform_real_distribution<>()(chance);  // so that clients don't return in step
+    if (harmless) act(DeclinePull{p.pull, std::min(retryAfter * spread, retryLimit)});
     else act(AbandonPull{p.pull});
     finish(p);
   }
@@ -722,7 +659,7 @@
           learnFill(leg, own, e.took - e.waited - theWay);
         if (e.remark == Remark::hit) {
           double held = 0.5 * crew * (leg.heldThen + leg.at->held + 1);
-          leg.at->room.learn(now, std::max(1.0, held), own, e.took - theWay);
+          learn(leg.at->room, now, std::max(1.0, held), own, e.took - theWay);
           if (!p.ware->sendingSeen)
             p.ware->meanSending += 0.02 * (std::min(e.took, 4 * p.ware->meanSending) - p.ware->meanSending);
         }
--- /dev/null
+++ b/src/records.hpp
@@ -0,0 +1,76 @@
+// What a front keeps in memory while it decides: plain records, no decisions. Only logic.cpp uses them.
+#pragma once
+#include <algorithm>
+#include <deque>
+
+#include "logic.hpp"
+
+namespace dunlinwick {
+
+constexpr Ms longAgo = -1e15;
+
+enum class Role { store, parent, origin, foreign };
+
+// One offering's figures, with what has been learnt of it.
+struct Ware : Offering {
+  Ms meanSending = 0, omega = 0;
+  bool sendingSeen = false;
+};
+
+// Transfers that a machine or link carries at full pace: what goes by its size, what it seems to do, and what
+// it has shown.
+struct Room {
+  double nominal = 0, fits = 0, proven = 0;
+  Ms learntAt = 0;
+};
+
+// A machine of the list. Machines are kept for the life of the front: as many as were ever listed.
+struct Machine : ListEntry {
+  Role role = Role::foreign;
+  int held = 0;     // legs of ours that are out there
+  int feeding = 0;  // legs of ours that name it as their source
+  Room room;
+  std::deque<std::pair<Ms, double>> spent;  // cold budget: emptied as the window passes
+  int strikes = 0, answers = 0;
+  bool aside = false, trialOut = false;
+  Ms asideUntil = 0, pause = 0, fullUntil = 0;
+  Ms lastGood = longAgo;  // when the latest leg was sent that it answered, or filled as a source
+  double pace = 1;        // how much its fills are stretched
+  Ms paceAt = longAgo;
+};
+
+// What is known of one part of one object; the oldest is dropped when the table is full.
+struct Memory {
+  std::uint64_t key = 0;
+  Ms lastPull = longAgo;
+  double count = 0;           // pulls, ageing
+  Machine* lastAt = nullptr;  // the cache that finished it last
+  Ms sending = 0;             // of the object, where sizes are not told; 0: not seen
+  int pins = 0;               // pulls under way that point here
+};
+
+struct Leg {
+  Machine* at = nullptr;
+  Machine* source = nullptr;  // nullptr: no fill
+  Ms sentAt = 0;
+  int heldThen = 0, feedingThen = 0;
+  double fillsThen = 0;
+  bool out = true, neverRan = false;
+};
+
+struct Pull : PullCame {
+  Ware* ware = nullptr;
+  Ms expiresAt = 0, agreedAt = 0, sending = 0, gap = 0;
+  Memory *memory = nullptr, *whole = nullptr;  // of the part, and of the object: its parts are of one size
+  Machine* lastAt = nullptr;
+  int rank = 1;
+  bool ended = false, streaming = false, siblingLacked = false, knownMiss = false;
+  std::vector<Leg> legs;
+  std::vector<Machine*> failed;  // caches and sources that failed this pull
+  bool hasFailed(const Machine* m) const { return std::count(failed.begin(), failed.end(), m) > 0; }
+  bool legOut() const {
+    return std::any_of(legs.begin(), legs.end(), [](const Leg& l) { return l.out; });
+  }
+};
+
+}  // namespace dunlinwick
