--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -357,7 +357,10 @@
     m.strikes = 0;
     if (!m.aside || (may.probe && m.answers < 2)) return;  // with probes: back only after two answered
     m.answers = 0;
-    m.aside = m.trialOut = false;
+    // One that refused or broke connections may be a new process that the list has not told of: it is taken
+    // for cold.
+    if (m.mayBeNew) m.startedAt = now;
+    m.aside = m.trialOut = m.mayBeNew = false;
     say("is back", m);
   }
 
@@ -695,6 +698,7 @@
       leg.at->fullUntil = now + second / 20;  // its queue needs a moment
       p.failed.push_back(leg.at);
     } else if (e.ending != Ending::cancelled && e.ending != Ending::moot) {
+      leg.at->mayBeNew |= e.ending == Ending::noConnection || e.ending == Ending::broken;
       strike(*leg.at);
       p.failed.push_back(leg.at);
     }
--- a/src/records.hpp
+++ b/src/records.hpp
@@ -32,7 +32,7 @@
   Room room;
   std::deque<std::pair<Ms, double>> spent;  // cold budget: emptied as the window passes
   int strikes = 0, answers = 0;
-  bool aside = false, trialOut = false;
+  bool aside = false, trialOut = false, mayBeNew = false;
   Ms asideUntil = 0, pause = 0, fullUntil = 0;
   Ms lastGood = longAgo;  // when the latest leg was sent that it answered, or filled as a source
   double pace = 1;        // how much its fills are stretched
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -272,6 +272,53 @@
   assert(f.pull(1).cache != slow);
 }
 
+// A parent whose fills are stretched, or never end, is passed over: its objects move on to the other.
+static void badParentsArePassedOver() {
+  for (bool swallows : {false, true}) {
+    Front f;
+    std::uint32_t bad = f.pull(1).source;
+    f.finish({1, 0});
+    int late = 0;
+    for (std::uint64_t o = 1; o <= 200; ++o) {
+      f.now += 40;
+      SendLeg a = f.pull(o, 0, 300);
+      if (o > 100) late += a.source == bad;
+      if (a.source != bad || !swallows)
+        f.end(a, Ending::finished, Remark::filled, 0, a.source == bad ? 600 : 35);
+    }
+    std::printf("late %d\n", late);
+    assert(late < 20);
+  }
+}
+
+// A known miss whose sources all failed is declined at once: no further cache is looked at.
+static void missesWithoutSourceAreDeclined() {
+  Front f;
+  SendLeg a = f.pull(1);
+  int legs = 0;
+  for (; a.cache; ++legs) {
+    f.end(a, Ending::full, Remark::sourceRefused, legs, 20);
+    a = f.leg();
+  }
+  assert(legs == 3 && f.declined());  // two parents and the origin
+}
+
+// When a location has lost most of its caches, what the rest can't take goes straight to the parents.
+static void lostLocationsGoDirect() {
+  Front f;
+  for (std::uint64_t o = 1; o <= 20; ++o) f.finish(f.pull(o));
+  f.tell(ListNews{Listing::changes,
+                  {entry(11, storeKind, 1, Standing::gone), entry(12, storeKind, 1, Standing::gone),
+                   entry(13, storeKind, 1, Standing::gone)}});
+  int direct = 0, declined = 0;
+  for (std::uint64_t o = 1; o <= 60; ++o) {
+    SendLeg a = f.pull(o);
+    direct += a.cache == 21 || a.cache == 22;
+    declined += f.declined();
+  }
+  assert(direct > 0 && declined > 0);
+}
+
 // Without parents, probes, reports, weights, direct routes or a told link; the list only when asked for.
 static void worksWithoutTheExtras() {
   StoreSheet s = sheet();
@@ -311,6 +358,9 @@
                  {"a crowded link looks first", crowdedLinkLooksFirst},
                  {"full fill places are no fault", fullFillPlacesAreNoFault},
                  {"slow caches are passed over", slowCachesArePassedOver},
+                 {"bad parents are passed over", badParentsArePassedOver},
+                 {"misses without a source are declined", missesWithoutSourceAreDeclined},
+                 {"lost locations go direct", lostLocationsGoDirect},
                  {"works without the extras", worksWithoutTheExtras}}) {
     std::puts(c.name);
     c.run();
