--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -326,7 +326,7 @@
     for (auto& [id, p] : pulls)
       for (const Leg& leg : p.legs)
         overdue += leg.out && (leg.at == &m || leg.source == &m) && leg.sentAt > m.lastGood &&
-                   now - leg.sentAt > 3 * (p.sending * crowd + m.wait) + grace;
+                   now - leg.sentAt > 3 * p.sending * crowd + grace;
     return overdue >= limit;
   }
 
@@ -478,10 +478,9 @@
   // A fill is stretched by the link, which all share, and by its source. The best source's pace is laid to
   // the link, what is worse than that to the source. Guards against parents that slow down or lose part of
   // their link.
-  void learnFill(const Leg& leg, Ms own, Ms took, Ms waited) {
+  void learnFill(const Leg& leg, Ms own, Ms took) {
     Machine& from = *leg.source;
     if (own <= 0) return;
-    from.wait += 0.1 * (waited - from.wait);
     from.pace += 0.1 * (std::max(1.0, took / own) - from.pace);  // about the last ten fills
     from.paceAt = now;
     double best = from.pace;
@@ -660,7 +659,7 @@
         Ms own = p.ware->sendingSeen ? p.sending : p.whole->sending;
         constexpr Ms theWay = 5;  // connection and network inside a location, on the long side
         if (filled && leg.source && leg.source->role != Role::store)
-          learnFill(leg, own, e.took - e.waited - theWay, e.waited);
+          learnFill(leg, own, e.took - e.waited - theWay);
         if (e.remark == Remark::hit) {
           double held = 0.5 * crew * (leg.heldThen + leg.at->held + 1);
           learn(leg.at->room, now, std::max(1.0, held), own, e.took - theWay);
--- a/src/records.hpp
+++ b/src/records.hpp
@@ -36,7 +36,6 @@
   Ms asideUntil = 0, pause = 0, fullUntil = 0;
   Ms lastGood = longAgo;  // when the latest leg was sent that it answered, or filled as a source
   double pace = 1;        // how much its fills are stretched
-  Ms wait = 0;            // until their first byte comes
   Ms paceAt = longAgo;
 };
 
