--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -412,6 +412,10 @@
     return std::clamp(margin * stretch * std::clamp(std::pow(ratio, 0.2), 0.7, 1.3), 1.2, 5.0);
   }
 
+  Ms sendingOf(const Pull& p) const {
+    return p.ware->sendingSeen ? p.sending : p.whole->sending;
+  }  // 0: not known
+
   // Rule 2: where a further leg of this pull may go.
   bool mayGo(const Pull& p, const Machine& m) const {
     const Offering& o = *p.ware;
@@ -656,7 +660,7 @@
       if (leg.at->role == Role::store && !p.ware->neverKept) {
         Memory& m = *p.memory;
         if (tellsFills && (hit || filled)) learnOmega(p, leg, hit);
-        Ms own = p.ware->sendingSeen ? p.sending : p.whole->sending;
+        Ms own = sendingOf(p);
         constexpr Ms theWay = 5;  // connection and network inside a location, on the long side
         if (filled && leg.source && leg.source->role != Role::store)
           learnFill(leg, own, e.took - e.waited - theWay);
@@ -683,6 +687,10 @@
   // Whose fault an ending was, and whom this pull avoids from now on.
   void blame(Pull& p, Leg& leg, const LegEnded& e) {
     Machine* source = leg.source;
+    // A fill that was refused, lost or called off late shows a crowded source as well as a slow one does.
+    if (p.knownMiss && source && source->role != Role::store && sendingOf(p) > 0 &&
+        (e.remark == Remark::sourceRefused || e.took > 3 * sendingOf(p)))
+      learnFill(leg, sendingOf(p), std::max(e.took, 3 * sendingOf(p)));
     bool sibling = source && source->role == Role::store;
     if (e.ending == Ending::miss || e.remark == Remark::noFillPlace) {
       // No fault: the cache lacks it, or has no place to fill it but still serves hits.
