--- a/src/benchlink/codec.cpp
+++ b/src/benchlink/codec.cpp
@@ -167,7 +167,7 @@
   void operator()(const SendLeg& a) const {
     out.u16(67);
     out.u32(a.pull);
-    out.u8((a.join ? 1u : 0u) | (a.renew ? 8u : 0u));
+    out.u8((a.join ? 1u : 0u) | (a.heldOnly ? 2u : 0u) | (a.renew ? 8u : 0u));
     out.u8(static_cast<unsigned>(a.rank));
     out.f64(a.oldest);
     out.u32(a.source);
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -76,6 +76,7 @@
   std::unordered_map<std::uint64_t, Ms> purges;  // object or group: when; emptied after purgeKept
   std::deque<std::pair<Ms, std::uint64_t>> purgeOrder;
   double meanPayoff = 1, meanWork = 100;
+  Ms originWait = 0, originCalm = 0;   // until its first byte comes, lately and as usual
   double roomOpen = 0, roomUsual = 0;  // of the location's caches: open to the pull in hand, and as usual
   int linesLeft = 150;
   bool asked = false;
@@ -553,6 +554,7 @@
     a.source = source ? source->cache : at.cache;
     a.join = may.join;
     a.renew = p.ware->freshFor > 0;
+    a.heldOnly = p.spared = leg.source && leg.source->role == Role::parent && sparesOrigin();
     a.rank = p.rank;
     a.oldest = oldest(p);
     a.patience = std::max(1.0, p.expiresAt - now);
@@ -560,8 +562,23 @@
     p.legs.push_back(leg);
   }
 
+  // While the origin is slow beside its calm, only as large a share of misses may lead to it; the others ask
+  // a parent for what it holds, and are declined if it lacks the part. Guards against pushing the origin
+  // over, whatever slowed it. Harm: a lasting change of its pace is taken for trouble until calm has
+  // followed, some hundred fills.
+  bool sparesOrigin() {
+    constexpr double slow = 3;  // its answers vary by less when it is calm
+    return originWait > slow * originCalm &&
+           std::uniform_real_distribution<>()(chance) > slow * originCalm / originWait;
+  }
+  void learnOrigin(Ms waited) {
+    if (originCalm <= 0) originCalm = originWait = waited;
+    originWait += 0.1 * (waited - originWait);
+    originCalm += (waited < originCalm ? 0.1 : 0.003) * (waited - originCalm);
+  }
+
   bool sendNext(Pull& p) {
-    if (static_cast<int>(p.legs.size()) >= mostLegs) return false;
+    if (static_cast<int>(p.legs.size()) >= mostLegs || p.spared) return false;
     if (p.ware->neverKept && may.direct && origin && usable(*origin) && !p.hasFailed(origin) &&
         mayGo(p, *origin))
       return send(p, *origin, origin), true;
@@ -653,6 +670,7 @@
       absolve(*leg.at);
       bool filled = e.remark == Remark::filled || e.remark == Remark::filledByOrigin;
       bool hit = e.remark == Remark::hit || e.remark == Remark::joined || e.remark == Remark::aged;
+      if (e.remark == Remark::filledByOrigin) learnOrigin(e.waited);
       if (filled && leg.source) {
         leg.source->lastGood = std::max(leg.source->lastGood, leg.sentAt);
         absolve(*leg.source);
@@ -692,6 +710,8 @@
         (e.remark == Remark::sourceRefused || e.took > 3 * sendingOf(p)))
       learnFill(leg, sendingOf(p), std::max(e.took, 3 * sendingOf(p)));
     bool sibling = source && source->role == Role::store;
+    if (e.remark != Remark::sourceLacks) p.spared = false;
+    if (e.remark == Remark::originFailed) learnOrigin(std::max(e.waited, 10 * originCalm));
     if (e.ending == Ending::miss || e.remark == Remark::noFillPlace) {
       // No fault: the cache lacks it, or has no place to fill it but still serves hits.
       if (e.remark == Remark::noFillPlace || (!sibling && p.knownMiss)) p.failed.push_back(leg.at);
--- a/src/logic.hpp
+++ b/src/logic.hpp
@@ -140,7 +140,7 @@
 // ---- what is to be done
 struct SendLeg {
   std::uint32_t pull = 0, cache = 0, source = 0;  // source == cache: no fill
-  bool join = false, renew = false;
+  bool join = false, renew = false, heldOnly = false;  // heldOnly: the source fetches nothing itself
   int rank = 0;
   Ms oldest = 0;    // 0: as old as the offering allows
   Ms patience = 0;  // 0: till the client quits
