--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -76,8 +76,8 @@
   std::unordered_map<std::uint64_t, Ms> purges;  // object or group: when; emptied after purgeKept
   std::deque<std::pair<Ms, std::uint64_t>> purgeOrder;
   double meanPayoff = 1, meanWork = 100;
-  Ms originWait = 0, originCalm = 0;   // until its first byte comes, lately and as usual
-  double roomOpen = 0, roomUsual = 0;  // of the location's caches: open to the pull in hand, and as usual
+  Ms originWait = 0, originCalm = 0;  // until its first byte comes, lately and as usual
+  double roomUsual = 0;               // of the location's caches
   int linesLeft = 150;
   bool asked = false;
 
@@ -389,9 +389,8 @@
 
   // Bounded load: the first in hash order that is at most a quarter over the mean level, and home while a
   // pull still meets its agreed time there, since a move costs a fill. Else the least crowded.
-  Machine* firstInBounds(const std::vector<Machine*>& open, double& room) const {
-    double held = 0;
-    room = 0;
+  Machine* firstInBounds(const std::vector<Machine*>& open) const {
+    double held = 0, room = 0;
     Machine* least = nullptr;
     for (Machine* m : open) {
       held += (m->held + m->feeding) * sharers(*m);
@@ -438,8 +437,7 @@
     std::vector<Machine*> open;
     for (Machine* m : inOrder(stores, p.object))
       if (judge(*m) && !p.hasFailed(m) && mayGo(p, *m) && affords(*m, p.ware->meanSending)) open.push_back(m);
-    Machine* at = firstInBounds(open, roomOpen);
-    roomUsual += (roomOpen - roomUsual) * (roomUsual > 0 ? 0.001 : 1);  // about the last thousand choices
+    Machine* at = firstInBounds(open);
     crowded = at && level(*at) > bearable(p);
     return at;
   }
@@ -458,8 +456,7 @@
     std::vector<Machine*> able;
     for (Machine* m : inOrder(parents, p.object))
       if (open(m)) able.push_back(m);
-    double room = 0;
-    if (!able.empty()) return firstInBounds(able, room);
+    if (!able.empty()) return firstInBounds(able);
     return origin && open(origin) ? origin : nullptr;
   }
 
@@ -603,8 +600,12 @@
     // The location has lost much of what it had, and what is left can't take it: straight to its parent, or
     // to the origin, while the link bears it. Guards against a crash of most caches. Harm: the copy is not
     // kept.
-    constexpr double lost = 1.0 / 3;  // a release holds back less: one cache in three away, one cold
-    bool direct = may.direct && (!at || roomOpen < lost * roomUsual);
+    constexpr double lost = 0.45;  // a release holds back less: one cache in three away, one cold
+    double room = 0;
+    for (const Machine* m : stores)
+      if (m->standing == Standing::ready && !m->aside) room += m->room.nominal * warmth(*m);
+    roomUsual += (room - roomUsual) * (roomUsual > room ? 0.001 : 1);  // falls by a thousandth a look
+    bool direct = may.direct && room < lost * roomUsual;
     Machine* source = direct ? chooseSource(p, nullptr) : nullptr;
     if (!source || !mayGo(p, *source) || linkLevel() > bearable(p)) return false;
     return send(p, *source, source), true;
