--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -77,7 +77,6 @@
   Ms originWait = 0, originCalm = 0;  // until its first byte comes, lately and as usual
   double roomUsual = 0;               // of the location's caches
   int linesLeft = 150;
-  bool asked = false;
 
   void act(Action a) { todo->push_back(std::move(a)); }
 
@@ -121,6 +120,7 @@
   void takeList(const ListNews& news) {
     if (news.listing == Listing::failed)  // ask again soon: the old list stays, and ages
       return act(WakeMe{now + second, wakeList << 56});
+    if (asksForList && news.listing == Listing::remembered) act(FollowList{});
     if (news.listing != Listing::changes)
       for (auto& [id, m] : machines) m.standing = Standing::gone;  // one that a full list lacks has left
     for (const ListEntry& e : news.entries) takeEntry(e);
@@ -154,10 +154,11 @@
       m.aside = m.trialOut = false;
       m.room = {};
     }
-    // Weights absent: a cache is held to carry four transfers, a small machine's worth, a parent ample;
+    // Weights absent: a cache is held to carry four transfers, a small machine's worth, a source ample;
     // answers correct both. Until they prove more, cold budgets go by the four.
     constexpr double small = 4, ample = 200;
-    m.room.nominal = weighed ? m.weight : m.role == Role::store ? small : ample;
+    m.room.nominal = m.role == Role::store ? small : ample;
+    if (weighed && m.role != Role::origin) m.room.nominal = m.weight;
     m.room.proven = std::max(m.room.proven, small);
     if (m.room.fits <= 0) m.room.fits = m.room.nominal;
   }
@@ -433,8 +434,9 @@
     std::vector<Machine*> able;
     for (Machine* m : inOrder(parents, p.object))
       if (open(m)) able.push_back(m);
-    if (!able.empty()) return firstInBounds(able);
-    return origin && open(origin) ? origin : nullptr;
+    Machine* best = able.empty() ? nullptr : firstInBounds(able);
+    if (best && level(*best) <= bearable(p)) return best;
+    return origin && open(origin) && (!best || level(*origin) < level(*best)) ? origin : best;
   }
 
   // Fills under way. A leg that may yet prove a hit counts as one once it is out for longer than a hit takes;
@@ -463,6 +465,7 @@
     double best = from.pace;
     for (const Machine* m : parents)
       if (now - m->paceAt < 5 * second) best = std::min(best, m->pace);
+    if (linkTold) best = std::min(best, std::max(1.0, linkLevel()));  // a lone parent has no other beside it
     double fed = std::max(1.0, 0.5 * fronts * (leg.feedingThen + from.feeding + 1));
     learn(from.room, now, fed, own, took, best);
     double fills = 0.5 * (leg.fillsThen + fillsOut() + crew);
@@ -723,10 +726,6 @@
   Mind& d = *mind_;
   d.now = now;
   d.todo = &todo;
-  if (d.asksForList && !d.asked) {
-    d.asked = true;
-    d.act(FollowList{});
-  }
   if (auto* list = std::get_if<ListNews>(&event)) d.takeList(*list);
   if (auto* came = std::get_if<PullCame>(&event)) d.arrive(*came);
   if (auto* ended = std::get_if<LegEnded>(&event)) d.legEnded(*ended);
