--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -528,7 +528,7 @@
     a.source = source ? source->cache : at.cache;
     a.join = may.join;
     a.renew = p.ware->freshFor > 0;
-    a.heldOnly = p.spared = leg.source && leg.source->role == Role::parent && sparesOrigin();
+    a.heldOnly = p.spared = leg.source && leg.source->role == Role::parent && sparesOrigin(p);
     a.rank = p.rank;
     a.oldest = oldest(p);
     a.patience = std::max(1.0, p.expiresAt - now);
@@ -539,10 +539,13 @@
   // While the origin is slow beside its calm, only as large a share of misses may lead to it; the others ask
   // a parent for what it holds, else are declined. Guards against pushing the origin over, whatever slowed
   // it. Harm: a lasting change of its pace is taken for trouble until calm has followed, some hundred fills.
-  bool sparesOrigin() {
-    constexpr double slow = 3;  // its answers vary by less when it is calm
-    return originWait > slow * originCalm &&
-           std::uniform_real_distribution<>()(chance) > slow * originCalm / originWait;
+  bool sparesOrigin(const Pull& p) {
+    constexpr double slow = 3, look = 0.1;  // calm answers vary by less; a tenth shows when it is calm again
+    if (originWait <= slow * originCalm) return false;
+    bool late =
+        originWait + p.sending > p.agreedAt - now;  // what it would send comes too late to be worth it
+    double share = late ? look : slow * originCalm / originWait;
+    return std::uniform_real_distribution<>()(chance) > share;
   }
   void learnOrigin(Ms waited) {
     if (originCalm <= 0) originCalm = originWait = waited;
