--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -365,10 +365,10 @@
 
   // ---- cache choice
 
-  // Transfers per transfer it can carry, with one more of ours and of each front that shares it.
+  // Transfers per transfer it can carry, with one more of ours.
   int sharers(const Machine& m) const { return m.role == Role::store ? crew : fronts; }
   double level(const Machine& m) const {
-    return (m.held + m.feeding + 1) * sharers(m) / (carries(m.room, now) * warmth(m));
+    return ((m.held + m.feeding) * sharers(m) + 1) / (carries(m.room, now) * warmth(m));
   }
 
   // Bounded load: the first in hash order that is at most a quarter over the mean level, and home while a
@@ -452,7 +452,7 @@
   }
 
   // The link is shared by all fills: crowded, it makes every one late, and fill places run out behind it.
-  double linkLevel() const { return (fillsOut() + crew) / carries(link, now); }
+  double linkLevel() const { return (fillsOut() + 1) / carries(link, now); }
 
   // A fill is stretched by the link, which all share, and by its source. The best source's pace is laid to
   // the link, what is worse than that to the source. Guards against parents that slow down or lose some of
