--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -571,7 +571,9 @@
       if (!source && p.knownMiss) return false;  // nothing can fill it: looking on elsewhere only adds legs
       if (source && source->role != Role::store) {
         bool canLook = !p.knownMiss && static_cast<int>(p.legs.size()) + 1 < mostLegs;
-        if (p.knownMiss && linkLevel() > bearable(p)) return false;
+        double seen =
+            now - source->paceAt < second ? source->pace : 1;  // a stretch that the levels don't explain
+        if (p.knownMiss && std::max(linkLevel(), seen) > bearable(p)) return false;
         if (canLook && linkLevel() > pressed) source = nullptr;
       }
       return send(p, *at, source), true;
