--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -75,7 +75,9 @@
   std::deque<std::pair<Ms, std::uint64_t>> purgeOrder;
   double meanPayoff = 1, meanWork = 100;
   Ms originWait = 0, originCalm = 0;  // until its first byte comes, lately and as usual
-  double roomUsual = 0;               // of the location's caches
+  double bestPace = 1;                // how much the best source's fills are stretched
+  Ms paceAt = 0;
+  double roomUsual = 0;  // of the location's caches
   int linesLeft = 150;
 
   void act(Action a) { todo->push_back(std::move(a)); }
@@ -463,6 +465,7 @@
     double best = from.pace;
     for (const Machine* m : parents)
       if (now - m->paceAt < 5 * second) best = std::min(best, m->pace);
+    bestPace = best, paceAt = now;
     if (linkTold) best = std::min(best, std::max(1.0, linkLevel()));  // a lone parent has no other beside it
     double fed = std::max(1.0, 0.5 * fronts * (leg.feedingThen + from.feeding + 1));
     learn(from.room, now, fed, own, took, best);
@@ -571,8 +574,8 @@
       if (!source && p.knownMiss) return false;  // nothing can fill it: looking on elsewhere only adds legs
       if (source && source->role != Role::store) {
         bool canLook = !p.knownMiss && static_cast<int>(p.legs.size()) + 1 < mostLegs;
-        double seen =
-            now - source->paceAt < second ? source->pace : 1;  // a stretch that the levels don't explain
+        // Untold, the link's room is a guess: then what the best source's last fills showed is believed as well.
+        double seen = !linkTold && now - paceAt < second ? bestPace : 1;
         if (p.knownMiss && std::max(linkLevel(), seen) > bearable(p)) return false;
         if (canLook && linkLevel() > pressed) source = nullptr;
       }
