--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -315,8 +315,8 @@
     double crowd = std::max(1.0, linkLevel());
     for (auto& [id, p] : pulls)
       for (const Leg& leg : p.legs)
-        overdue += leg.out && ((leg.at == &m && !p.knownMiss) || leg.source == &m) &&
-                   leg.sentAt > m.lastGood && now - leg.sentAt > 3 * p.sending * crowd + grace;
+        overdue += leg.out && (leg.at == &m || leg.source == &m) && leg.sentAt > m.lastGood &&
+                   now - leg.sentAt > 3 * p.sending * crowd + grace;
     return overdue >= limit;
   }
 
