--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -578,7 +578,7 @@
     }
     // The location lost much of what it had, and the rest can't take it: straight to its parent, or to the
     // origin, while the link bears it. Guards against a crash of most caches. Harm: the copy is not kept.
-    constexpr double lost = 0.45;  // a release holds back less: one cache in three away, one cold
+    constexpr double lost = 0.4;  // a release holds back less: one cache in three away, one cold
     bool direct = may.direct && room < lost * roomUsual;
     Machine* source = direct ? chooseSource(p, nullptr) : nullptr;
     if (!source || !mayGo(p, *source) || linkLevel() > bearable(p)) return false;
