--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -1,6 +1,6 @@
-// All decisions of a dunlinwick front. Router::handle() is the one way in: it takes what happened at `now` and
-// returns what is to be done, in order. Its interface is logic.hpp, its records are in records.hpp; docs/design.md
-// says what follows the design and where it departs. Nothing here reads a clock, does I/O, or knows a name.
+// All decisions of a dunlinwick front. Router::handle() is the one way in: it takes what happened at `now`
+// and returns what is to be done, in order. Its interface is logic.hpp, its records are in records.hpp;
+// docs/design.md says what departs from the design. Nothing here reads a clock, does I/O, or knows a name.
 #include "logic.hpp"
 
 #include <algorithm>
@@ -24,9 +24,9 @@
   return x ^ (x >> 31);
 }
 
-// Room: how many transfers a machine or link carries at full pace. A crowded answer shows it (held over stretch), an
-// uncrowded one that it is at least what was held; unused, it goes back to what goes by size. Guards against slow,
-// pausing and overrated machines. Harm: a slow way to a client looks like a slow machine.
+// Room: how many transfers a machine or link carries at full pace. A crowded answer shows it (held over
+// stretch), an uncrowded one that it is at least what was held; unused, it goes back to what goes by size.
+// Guards against slow, pausing and overrated machines. Harm: a slow way to clients.
 double carries(const Room& r, Ms now) {
   constexpr Ms fade = 5 * second;  // a slow machine is asked again within seconds, by a few pulls first
   return std::max(
@@ -371,8 +371,9 @@
     return ((m.held + m.feeding) * sharers(m) + 1) / (carries(m.room, now) * warmth(m));
   }
 
-  // Bounded load: the first in hash order that is at most a quarter over the mean level, or at a level where most
-  // pulls meet their agreed time, since a move costs a fill; and that this pull can bear. Else the least crowded.
+  // Bounded load: the first in hash order that is at most a quarter over the mean level, or at a level where
+  // most pulls meet their agreed time, since a move costs a fill; and that this pull can bear. Else least
+  // level.
   Machine* firstInBounds(const std::vector<Machine*>& open, const Pull& p) const {
     double held = 0, room = 0;
     Machine* least = nullptr;
@@ -453,8 +454,7 @@
   double linkLevel() const { return (fillsOut() + 1) / carries(link, now); }
 
   // A fill is stretched by the link, which all share, and by its source. The best source's pace is laid to
-  // the link, what is worse than that to the source. Guards against parents that slow down or lose some of
-  // their link.
+  // the link, what is worse than that to the source. Guards against parents that slow down.
   void learnFill(const Leg& leg, Ms own, Ms took) {
     Machine& from = *leg.source;
     if (own <= 0) return;
@@ -565,8 +565,7 @@
     if (at && !crowded) {
       Machine* source = chooseSource(p, at);
       // When the link fills up, a pull first only looks; a miss is filled while it can be in time. Guards
-      // against any surge of misses (cold caches, purges, scans, large objects). Harm: a look costs a round
-      // trip.
+      // against any surge of misses (cold caches, purges, scans, large objects). Harm: one round trip.
       constexpr double pressed = 0.8;
       if (!source && p.knownMiss) return false;  // nothing can fill it: looking on elsewhere only adds legs
       if (source && source->role != Role::store) {
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -313,8 +313,8 @@
   assert(legs == 3 && f.declined());  // two parents and the origin
 }
 
-// Once fills by way of the origin come late, most misses ask a parent only for what it holds, and are declined if
-// it lacks that; when they come early again, all may lead to the origin.
+// Once fills by way of the origin come late, most misses ask a parent only for what it holds, and are
+// declined if it lacks that; when they come early again, all may lead to the origin.
 static void slowOriginsAreSpared() {
   Front f;
   int spared = 0;
