Count own legs once, others' by average; sources keep a share; turns for cold machines

Cause: at size each own leg was taken for as many as there are fronts, so caches and parents looked full by luck; parents with a weak link were crowded while others stood idle; a front's share of a cold parent was less than one leg, so nobody used it; slow fills made caches look full, and objects left home.

Changed: tallies of own legs with a running mean; a share of objects for each source, cut by stretched or refused fills; a turn by chance for cold machines; fills held up elsewhere weigh less at a cache; sending times are not learnt from joined fills.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -59,6 +59,7 @@
   Ms retryLimit, purgeKept, coldWindow;
   double streamKbPerMs;
   Room link;
+  Tally linkFills;
   ColdTerms coldStore, coldParent;
   std::knuth_b chance;
 
@@ -72,10 +73,8 @@
   std::list<Memory> memories;           // oldest first
   std::unordered_map<std::uint64_t, std::list<Memory>::iterator> memoryAt;
   std::unordered_map<std::uint64_t, Ms> purges;  // object or group: when; emptied after purgeKept
-  std::deque<std::pair<Ms, std::uint64_t>> purgeOrder;
   double meanPayoff = 1, meanWork = 100;
   Ms originWait = 0, originCalm = 0;  // until its first byte comes, lately and as usual
-  double roomUsual = 0;               // of the location's caches
   int linesLeft = 150;
 
   void act(Action a) { todo->push_back(std::move(a)); }
@@ -112,7 +111,7 @@
     static const char* const roles[] = {"cache ", "parent ", "origin ", "machine "};
     if (linesLeft-- > 0)
       act(WriteLine{roles[static_cast<int>(m.role)] + std::to_string(m.cache) + " " + what + ": strikes " +
-                    std::to_string(m.strikes) + ", legs " + std::to_string(m.held + m.feeding)});
+                    std::to_string(m.strikes) + ", legs " + std::to_string(std::lround(m.legs.out))});
   }
 
   // ---- machines: the list, warmth, and the hash
@@ -215,9 +214,9 @@
   }
 
   // Omega settles where as many answers miss below it as hit above it: the gap below which most answers hit.
-  // Departure (weak spot of the design): nothing is learnt from a cache that started lately, from purged
-  // objects, or from a cache other than the one that finished the part last; where copies age out, omega
-  // stays within their fresh time. Else a deploy's cold misses would cut omega at all fronts at once.
+  // Departure: nothing is learnt from a cache that started lately, from purged objects, or from another cache
+  // than the part's last; omega stays within the fresh time. Else a deploy's misses cut it at all fronts at
+  // once.
   void learnOmega(const Pull& p, const Leg& leg, bool hit) {
     constexpr double step = 0.02;  // fifty answers move it by e: seconds of traffic, not single surprises
     Ware& w = *p.ware;
@@ -242,12 +241,7 @@
     Ms at = now - e.ago;
     Ms& known = purges.try_emplace(key, longAgo).first->second;
     known = std::max(known, at);
-    purgeOrder.emplace_back(now, key);
-    while (!purgeOrder.empty() && purgeOrder.front().first < now - purgeKept) {
-      auto old = purges.find(purgeOrder.front().second);
-      if (old != purges.end() && old->second < now - purgeKept) purges.erase(old);
-      purgeOrder.pop_front();
-    }
+    std::erase_if(purges, [&](auto& one) { return one.second < now - purgeKept; });
   }
 
   Ms purgedAt(const Pull& p) const {
@@ -280,21 +274,25 @@
     return least > 0 ? least : m.room.proven;
   }
 
-  // The rule counts work over every window of the stated length. Half of this front's share is used:
-  // registered sizes and sending times are estimates, and other fronts' pulls bunch.
+  // The rule counts work over every window of the stated length. Half of this front's share is used: sizes
+  // are estimates, and pulls bunch. Where a share is less than a leg, a front has one in as many windows as
+  // make it up, by chance; a turn that is not used lapses, so that none are saved up.
   bool affords(Machine& m, Ms work) {
     constexpr double prudence = 0.5;
     const ColdTerms* t = coldTerms(m);
     if (!t || t->multiple <= 0 || coldWindow <= 0) return true;
     while (!m.spent.empty() && m.spent.front().first < now - coldWindow) m.spent.pop_front();
+    double share = prudence * t->multiple * coldCapacity(m) * warmth(m) * coldWindow / sharers(m);
+    if (share < work && now >= m.turnUntil) {
+      m.turn = std::uniform_real_distribution<>()(chance) < share / work;
+      m.turnUntil = now + coldWindow;
+    }
+    if (share < work) return m.turn && m.spent.empty();
     for (auto& [at, w] : m.spent) work += w;
-    return work <= prudence * t->multiple * coldCapacity(m) * warmth(m) * coldWindow / sharers(m);
+    return work <= share;
   }
 
-  void charge(Machine& m, Ms work) {
-    if (coldTerms(m)) m.spent.emplace_back(now, work);
-    else m.spent.clear();
-  }
+  void charge(Machine& m, Ms work) { coldTerms(m) ? (void)m.spent.emplace_back(now, work) : m.spent.clear(); }
 
   // ---- health
 
@@ -305,9 +303,9 @@
     return (may.probe ? m.answers >= 2 : now >= m.asideUntil) && !m.trialOut;
   }
 
-  // Three legs overdue and none answered that was sent as late. Guards against whatever makes a machine or
-  // the way to it swallow legs without an ending: it would hold fill places and clients until time-outs.
-  // Harm: when everything turns slow at once, the first judged may only be the first to be asked.
+  // Three legs overdue and none answered that was sent as late. Guards against whatever swallows legs without
+  // an ending, and would hold fill places and clients. Harm: when all turn slow, the first asked may be
+  // judged first.
   bool silent(const Machine& m) const {
     constexpr int limit = 3;          // more than chance, few enough to tell within a second
     constexpr Ms grace = second / 3;  // longer than the pauses of a busy machine
@@ -319,11 +317,7 @@
                    now - leg.sentAt > 3 * p.sending * crowd + grace;
     return overdue >= limit;
   }
-
-  bool judge(Machine& m) {
-    if (!m.aside && silent(m)) strike(m, strikesOut);
-    return usable(m);
-  }
+  bool judge(Machine& m) { return !m.aside && silent(m) ? strike(m, strikesOut), false : usable(m); }
 
   // Guards against whatever makes a machine fail legs in a row: a crash the list has not told, a refused
   // port, a break. Harm: a machine that only ran out of connections rests for a moment too.
@@ -350,11 +344,6 @@
     say("is back", m);
   }
 
-  void tryAgain(const Machine& m) {
-    if (m.aside && m.standing == Standing::ready) act(ProbeCache{m.cache});
-    else if (m.aside) act(WakeMe{now + second, wakeMachine << 56 | m.cache});
-  }
-
   void probed(const ProbeEnded& e) {
     auto at = machines.find(e.cache);
     if (at == machines.end() || !at->second.aside) return;
@@ -368,17 +357,31 @@
   // Transfers per transfer it can carry, with one more of ours.
   int sharers(const Machine& m) const { return m.role == Role::store ? crew : fronts; }
   double level(const Machine& m) const {
-    return ((m.held + m.feeding) * sharers(m) + 1) / (carries(m.room, now) * warmth(m));
+    return (together(m.legs, sharers(m)) + 1) / (carries(m.room, now) * warmth(m));
+  }
+
+  // Legs of all fronts that share something: ours as they stand, and for each of the others as many as we had
+  // on average, since they are sent alike. Guards against one leg looking like dozens where many share. Harm:
+  // what only other fronts send is not seen, and a swing shows late.
+  double meanOf(const Tally& t, int sharing) const {
+    constexpr Ms each = second / 5, most = 4 * second;  // the rarer our legs, the longer it takes
+    return t.mean + (t.out - t.mean) * (1 - std::exp((t.at - now) / std::min(each * sharing, most)));
   }
+  double together(const Tally& t, int sharing) const { return t.out + (sharing - 1) * meanOf(t, sharing); }
+  void count(Tally& t, int sharing, double out) {
+    t.mean = meanOf(t, sharing);
+    t.at = now;
+    t.out = out;
+  }
+  void count(Machine& m, double by) { count(m.legs, sharers(m), m.legs.out + by); }
 
-  // Bounded load: the first in hash order that is at most a quarter over the mean level, or at a level where
-  // most pulls meet their agreed time, since a move costs a fill; and that this pull can bear. Else least
-  // level.
+  // Bounded load: the first in hash order that is at most a quarter over the mean level, or at one where most
+  // pulls are in time, since a move costs a fill; and that this pull can bear. Else the least level.
   Machine* firstInBounds(const std::vector<Machine*>& open, const Pull& p) const {
     double held = 0, room = 0;
     Machine* least = nullptr;
     for (Machine* m : open) {
-      held += (m->held + m->feeding) * sharers(*m);
+      held += together(m->legs, sharers(*m));
       room += carries(m->room, now) * warmth(*m);
       if (!least || level(*m) < level(*least)) least = m;
     }
@@ -387,9 +390,9 @@
     return least;
   }
 
-  // How crowded a machine or link may be for this pull: it is stretched by about the level, and must meet its
-  // agreed time. Long pulls bear least, and a poor payoff for the work takes some off, so in overload those
-  // are declined first that earn least for what they take.
+  // How crowded a machine or link may be for this pull: it is stretched by about the level, and must be in
+  // time. A poor payoff for the work takes some off, so that those are declined first that earn least for
+  // what they take.
   double bearable(const Pull& p) const {
     double ratio = (p.ware->payoff / std::max(p.sending, 1.0)) / (meanPayoff / std::max(meanWork, 1.0));
     constexpr double margin = 0.8;  // the level is an estimate, and rises while the pull is under way
@@ -414,13 +417,12 @@
     return true;
   }
 
-  Machine* chooseStore(Pull& p, bool& crowded) {
+  Machine* chooseStore(Pull& p) {
     std::vector<Machine*> open;
     for (Machine* m : inOrder(stores, p.object))
       if (judge(*m) && !p.hasFailed(m) && mayGo(p, *m) && affords(*m, p.ware->meanSending)) open.push_back(m);
     Machine* at = firstInBounds(open, p);
-    crowded = at && level(*at) > bearable(p);
-    return at;
+    return at && level(*at) <= bearable(p) ? at : nullptr;
   }
 
   // Where a miss is filled from: a cache of the location that finished the part within omega, when its home
@@ -434,24 +436,31 @@
     std::vector<Machine*> able;
     for (Machine* m : inOrder(parents, p.object))
       if (open(m)) able.push_back(m);
+    std::stable_partition(able.begin(), able.end(), [&](const Machine* m) {
+      return static_cast<double>(mixed(~p.object ^ mixed(m->cache)) >> 11) * 0x1p-53 < shareOf(*m);
+    });
     Machine* best = able.empty() ? nullptr : firstInBounds(able, p);
     if (best && level(*best) <= bearable(p)) return best;
     return origin && open(origin) && (!best || level(*origin) < level(*best)) ? origin : best;
   }
 
-  // Fills under way. A leg that may yet prove a hit counts as one once it is out for longer than a hit takes;
-  // until then for three in ten, a usual share of misses.
-  double fillsOut() const {
-    double fills = 0;
-    for (auto& [id, p] : pulls)
-      for (const Leg& leg : p.legs)
-        if (leg.out && leg.at->role != Role::store) fills += 1;
-        else if (leg.out && leg.source && leg.source->role != Role::store)
-          fills += p.knownMiss || now - leg.sentAt > 1.5 * p.sending ? 1 : 0.3;
-    return fills * crew;
-  }
+  double linkLevel() const { return (together(linkFills, crew) + 1) / carries(link, now); }
 
-  double linkLevel() const { return (fillsOut() + 1) / carries(link, now); }
+  // The share of its objects that a source keeps: cut when a fill is stretched beyond the best source's, once
+  // for all legs that were then out, and grown by good ones. Guards against sources that many fronts crowd,
+  // whose legs no front can count. Harm: the same objects move on at all fronts, and are fetched there once
+  // more.
+  double shareOf(const Machine& m) const {
+    constexpr Ms whole = 50 * second;  // forgiven at leisure where nothing is asked of it any more
+    return std::min(1.0, m.share + std::min(whole, now - m.shareAt) / whole);
+  }
+  void shift(Machine& from, const Leg& leg, bool crowded) {
+    constexpr double least = 0.05, cut = 0.7, grow = 0.02;  // about one fill in ten is then a stretched one
+    if (leg.sentAt < from.cutAt) return;
+    from.share = crowded ? std::max(least, cut * shareOf(from)) : std::min(1.0, shareOf(from) + grow);
+    from.shareAt = now;
+    if (crowded) from.cutAt = now;
+  }
 
   // A fill is stretched by the link, which all share, and by its source. The best source's pace is laid to
   // the link, what is worse than that to the source. Guards against parents that slow down.
@@ -463,11 +472,10 @@
     double best = from.pace;
     for (const Machine* m : parents)
       if (now - m->paceAt < 5 * second) best = std::min(best, m->pace);
+    shift(from, leg, took > 2 * best * own);
     if (linkTold) best = std::min(best, std::max(1.0, linkLevel()));  // a lone parent has no other beside it
-    double fed = std::max(1.0, 0.5 * fronts * (leg.feedingThen + from.feeding + 1));
-    learn(from.room, now, fed, own, took, best);
-    double fills = 0.5 * (leg.fillsThen + fillsOut() + crew);
-    if (!linkTold && from.pace <= 1.25 * best) learn(link, now, std::max(1.0, fills), own, took);
+    learn(from.room, now, together(from.legs, fronts) + 1, own, took, best);
+    if (!linkTold && from.pace <= 1.25 * best) learn(link, now, together(linkFills, crew) + 1, own, took);
   }
 
   // ---- legs
@@ -511,12 +519,17 @@
     leg.at = &at;
     leg.source = source == &at ? nullptr : source;
     leg.sentAt = now;
-    leg.heldThen = at.held++;
-    leg.fillsThen = linkTold ? 0 : fillsOut();
+    // A fill passes on what it gets: held up by a full link or a crowded source it takes little of the cache.
+    if (p.knownMiss && leg.source) leg.load = 1 / std::max({1.0, linkLevel(), leg.source->pace});
+    count(at, leg.load);
+    bool outside = at.role != Role::store || (leg.source && leg.source->role != Role::store);
+    // A leg that may yet prove a hit counts for three in ten, a usual share of misses.
+    leg.fill = !outside ? 0 : p.knownMiss || at.role != Role::store ? 1 : 0.3;
+    count(linkFills, crew, linkFills.out + leg.fill);
     charge(at, work);
     if (at.aside) at.trialOut = true;
     if (leg.source) {
-      leg.feedingThen = leg.source->feeding++;
+      count(*leg.source, 1);
       charge(*leg.source, work);
       if (leg.source->aside) leg.source->trialOut = true;
     }
@@ -540,8 +553,7 @@
   bool sparesOrigin(const Pull& p) {
     constexpr double slow = 3, look = 0.1;  // calm answers vary by less; a tenth shows when it is calm again
     if (originWait <= slow * originCalm) return false;
-    bool late =
-        originWait + p.sending > p.agreedAt - now;  // what it would send comes too late to be worth it
+    bool late = originWait + p.sending > p.agreedAt - now;  // what it sends comes too late to be worth it
     double share = late ? look : slow * originCalm / originWait;
     return std::uniform_real_distribution<>()(chance) > share;
   }
@@ -556,32 +568,18 @@
     if (p.ware->neverKept && may.direct && origin && usable(*origin) && !p.hasFailed(origin) &&
         mayGo(p, *origin))
       return send(p, *origin, origin), true;
-    double room = 0;
-    for (const Machine* m : stores)
-      if (m->standing == Standing::ready && !m->aside) room += m->room.nominal * warmth(*m);
-    roomUsual += (room - roomUsual) * (roomUsual > room ? 0.001 : 1);  // forgets a loss in a thousand pulls
-    bool crowded = false;
-    Machine* at = chooseStore(p, crowded);
-    if (at && !crowded) {
-      Machine* source = chooseSource(p, at);
-      // When the link fills up, a pull first only looks; a miss is filled while it can be in time. Guards
-      // against any surge of misses (cold caches, purges, scans, large objects). Harm: one round trip.
+    Machine* at = chooseStore(p);
+    Machine* source = at ? chooseSource(p, at) : nullptr;
+    if (!at || (!source && p.knownMiss)) return false;  // nothing can fill it: a further look only adds legs
+    // When the link fills up, a pull first only looks; a miss is filled while it can be in time. Guards
+    // against any surge of misses (cold caches, purges, scans, large objects). Harm: one round trip.
+    if (source && source->role != Role::store) {
       constexpr double pressed = 0.8;
-      if (!source && p.knownMiss) return false;  // nothing can fill it: looking on elsewhere only adds legs
-      if (source && source->role != Role::store) {
-        bool canLook = !p.knownMiss && static_cast<int>(p.legs.size()) + 1 < mostLegs;
-        if (p.knownMiss && linkLevel() > bearable(p)) return false;
-        if (canLook && linkLevel() > pressed) source = nullptr;
-      }
-      return send(p, *at, source), true;
+      if (p.knownMiss && linkLevel() > bearable(p)) return false;
+      bool canLook = !p.knownMiss && static_cast<int>(p.legs.size()) + 1 < mostLegs;
+      if (canLook && linkLevel() > pressed) source = nullptr;
     }
-    // The location lost much of what it had, and the rest can't take it: straight to its parent, or to the
-    // origin, while the link bears it. Guards against a crash of most caches. Harm: the copy is not kept.
-    constexpr double lost = 0.4;  // a release holds back less: one cache in three away, one cold
-    bool direct = may.direct && room < lost * roomUsual;
-    Machine* source = direct ? chooseSource(p, nullptr) : nullptr;
-    if (!source || !mayGo(p, *source) || linkLevel() > bearable(p)) return false;
-    return send(p, *source, source), true;
+    return send(p, *at, source), true;
   }
 
   void tend(Pull& p) {
@@ -630,8 +628,9 @@
     Leg& leg = p.legs[static_cast<std::size_t>(e.leg)];
     if (!leg.out) return;
     leg.out = false;
-    --leg.at->held;
-    if (leg.source) --leg.source->feeding;
+    count(*leg.at, -leg.load);
+    count(linkFills, crew, linkFills.out - leg.fill);
+    if (leg.source) count(*leg.source, -1);
     leg.neverRan = e.ending == Ending::full || e.ending == Ending::noConnection || e.ending == Ending::moot ||
                    e.ending == Ending::miss;
     leg.at->trialOut = false;
@@ -654,12 +653,11 @@
         if (filled && leg.source && leg.source->role != Role::store)
           learnFill(leg, own, e.took - e.waited - theWay);
         if (e.remark == Remark::hit) {
-          double held = 0.5 * crew * (leg.heldThen + leg.at->held + 1);
-          learn(leg.at->room, now, std::max(1.0, held), own, e.took - theWay);
+          learn(leg.at->room, now, together(leg.at->legs, crew) + 1, own, e.took - theWay);
           if (!p.ware->sendingSeen)
             p.ware->meanSending += 0.02 * (std::min(e.took, 4 * p.ware->meanSending) - p.ware->meanSending);
         }
-        if (hit || filled) {
+        if (filled || e.remark == Remark::hit) {  // what a joined fill waited lies before this pull
           Ms sent = std::max(1.0, e.took - e.waited);
           p.whole->sending = p.whole->sending > 0 ? std::min(p.whole->sending, sent) : sent;
         }
@@ -676,12 +674,12 @@
   // Whose fault an ending was, and whom this pull avoids from now on.
   void blame(Pull& p, Leg& leg, const LegEnded& e) {
     Machine* source = leg.source;
-    bool sibling = source && source->role == Role::store, knownFill = source && !sibling && p.knownMiss;
+    bool sibling = source && source->role == Role::store;
     Ms own = sendingOf(p);
     if (e.remark != Remark::sourceLacks) p.spared = false;
     if (e.remark == Remark::originFailed) learnOrigin(std::max(e.waited, 10 * originCalm));
     // A fill that was refused, lost or called off late shows a crowded source as well as a slow one does.
-    if (knownFill && (e.remark == Remark::sourceRefused || e.took > 3 * own))
+    if (source && !sibling && (e.remark == Remark::sourceRefused || (p.knownMiss && e.took > 3 * own)))
       learnFill(leg, own, std::max(e.took, 3 * own));
     if (e.ending == Ending::miss || e.remark == Remark::noFillPlace) {
       // No fault: the cache lacks it, or has no place to fill it but still serves hits.
@@ -706,7 +704,10 @@
     auto id = static_cast<std::uint32_t>(e.handle);
     if (e.handle >> 56 == wakeList) act(FollowList{});
     if (e.handle >> 56 == wakeMachine)
-      if (auto m = machines.find(id); m != machines.end()) tryAgain(m->second);
+      if (auto at = machines.find(id); at != machines.end() && at->second.aside) {
+        if (at->second.standing == Standing::ready) act(ProbeCache{id});
+        else act(WakeMe{now + second, e.handle});
+      }
     if (e.handle >> 56 == wakePull)
       if (Pull* p = known(id)) {
         tend(*p);
--- a/src/records.hpp
+++ b/src/records.hpp
@@ -24,19 +24,28 @@
   Ms learntAt = 0;
 };
 
+// Legs of ours that are out, and on average over the last seconds.
+struct Tally {
+  double out = 0, mean = 0;
+  Ms at = longAgo;
+};
+
 // A machine of the list. Machines are kept for the life of the front: as many as were ever listed.
 struct Machine : ListEntry {
   Role role = Role::foreign;
-  int held = 0;     // legs of ours that are out there
-  int feeding = 0;  // legs of ours that name it as their source
+  Tally legs;  // of ours that are out there, or name it as their source
   Room room;
   std::deque<std::pair<Ms, double>> spent;  // cold budget: emptied as the window passes
+  Ms turnUntil = longAgo;
+  bool turn = false;
   int strikes = 0, answers = 0;
   bool aside = false, trialOut = false, mayBeNew = false;
   Ms asideUntil = 0, pause = 0, fullUntil = 0;
   Ms lastGood = longAgo;  // when the latest leg was sent that it answered, or filled as a source
   double pace = 1;        // how much its fills are stretched
   Ms paceAt = longAgo;
+  double share = 1;  // of the objects at home there that are still asked of it
+  Ms shareAt = longAgo, cutAt = longAgo;
 };
 
 // What is known of one part of one object; the oldest is dropped when the table is full.
@@ -53,8 +62,7 @@
   Machine* at = nullptr;
   Machine* source = nullptr;  // nullptr: no fill
   Ms sentAt = 0;
-  int heldThen = 0, feedingThen = 0;
-  double fillsThen = 0;
+  double load = 1, fill = 0;  // on the cache's own link and the location's, in transfers at full pace
   bool out = true, neverRan = false;
 };
 
