Scale earlier pulls by the fronts, not the present one

Cause: where a dozen fronts serve a location, one pull of an object that is wanted only once counted as a dozen, and its copy took rank 3; scans pushed out what is wanted. Now the present pull counts once, earlier ones for each front.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -229,7 +229,8 @@
   }
 
   int rankOf(const Pull& p) const {
-    double lambda = p.memory->count / countAgeing * crew;
+    double lambda =
+        ((p.memory->count - 1) * crew + 1) / countAgeing;  // this pull is no sign of others elsewhere
     double held = 1 - std::exp(-lambda * p.ware->omega);
     return held > 2.0 / 3 ? 3 : held > 1.0 / 3 ? 2 : 1;  // three ranks, even thirds of the held chance
   }
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -189,6 +189,17 @@
   assert(ranks[1] > 0 && ranks[3] > 0 && f.pull(1).rank == 3 && f.pull(2).rank == 1);
 }
 
+// One pull where many fronts serve a location does not rank an object high: it may be wanted only once.
+static void singlePullsRankLowAtSize() {
+  StoreSheet s = sheet();
+  s.crew = 12, s.fronts = 200;
+  Front f(s);
+  SendLeg a = f.pull(1);
+  f.finish(a);
+  f.now += 3000;
+  assert(a.rank == 1 && f.pull(1).rank == 3 && f.pull(2).rank == 1);
+}
+
 // Omega falls on misses at short gaps, but not on those of a cache that started lately.
 static void omegaLearnsFromWarmCachesOnly() {
   for (bool cold : {false, true}) {
@@ -451,6 +462,7 @@
                  {"misses without a source are declined", missesWithoutSourceAreDeclined},
                  {"slow origins are spared", slowOriginsAreSpared},
                  {"lost locations decline", lostLocationsDecline},
+                 {"single pulls rank low at size", singlePullsRankLowAtSize},
                  {"own legs are not taken for dozens", ownLegsAreNotTakenForDozens},
                  {"crowded parents keep a share", crowdedParentsKeepAShare},
                  {"shares below a leg add up", sharesBelowALegAddUp},
