Cut a lasting level of the link down to six tenths of what a miss bears

Cause: where links are told, a lasting level means that the parents behind them are crowded too, and misses let through up to what they bear came late together. A burst is still borne in full; a mean level over the last seconds of 2 or more leaves six tenths.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -59,7 +59,7 @@
   Ms retryLimit, purgeKept, coldWindow;
   double streamKbPerMs;
   Room link;
-  Tally linkFills;
+  Tally linkFills, linkLately;  // fills out through the link; its level
   ColdTerms coldStore, coldParent;
   std::knuth_b chance;
 
@@ -192,8 +192,7 @@
 
   // ---- memory: rates, omega, ranks (the design's ordinary path)
 
-  // Pulls are counted with this time constant: long beside any idle window, short beside a change of fashion.
-  static constexpr Ms countAgeing = 30 * second;
+  static constexpr Ms countAgeing = 30 * second;  // long beside any idle window, short beside a fashion
 
   Memory* recall(std::uint64_t object, int part) {
     constexpr std::size_t mostMemories = 1 << 16;  // some minutes of a busy front's different parts
@@ -390,9 +389,8 @@
     return least;
   }
 
-  // How crowded a machine or link may be for this pull: it is stretched by about the level, and must be in
-  // time. A poor payoff for the work takes some off, so that those are declined first that earn least for
-  // what they take.
+  // How crowded a machine or link may be for this pull: stretched by about the level, it must be in time.
+  // A poor payoff for the work takes some off: in overload those go first that earn least for it.
   double bearable(const Pull& p) const {
     double ratio = (p.ware->payoff / std::max(p.sending, 1.0)) / (meanPayoff / std::max(meanWork, 1.0));
     constexpr double margin = 0.8;  // the level is an estimate, and rises while the pull is under way
@@ -400,8 +398,7 @@
     return std::clamp(stretch * std::clamp(std::pow(ratio, 0.2), 0.7, 1.3), 1.2, 5.0);
   }
 
-  // 0: not known.
-  Ms sendingOf(const Pull& p) const { return p.ware->sendingSeen ? p.sending : p.whole->sending; }
+  static Ms knownSending(const Pull& p) { return p.ware->sendingSeen ? p.sending : p.whole->sending; }
 
   // Rule 2: where a further leg of this pull may go.
   bool mayGo(const Pull& p, const Machine& m) const {
@@ -447,9 +444,8 @@
   double linkLevel() const { return (together(linkFills, crew) + 1) / carries(link, now); }
 
   // The share of its objects that a source keeps: cut when a fill is stretched beyond the best source's, once
-  // for all legs that were then out, and grown by good ones. Guards against sources that many fronts crowd,
-  // whose legs no front can count. Harm: the same objects move on at all fronts, and are fetched there once
-  // more.
+  // for all legs then out, and grown by good ones. Guards against sources that many fronts crowd, whose legs
+  // no front can count. Harm: the same objects move on at all fronts, and are fetched anew there.
   double shareOf(const Machine& m) const {
     constexpr Ms whole = 50 * second;  // forgiven at leisure where nothing is asked of it any more
     return std::min(1.0, m.share + std::min(whole, now - m.shareAt) / whole);
@@ -463,7 +459,7 @@
   }
 
   // A fill is stretched by the link, which all share, and by its source. The best source's pace is laid to
-  // the link, what is worse than that to the source. Guards against parents that slow down.
+  // the link, what is worse to the source.
   void learnFill(const Leg& leg, Ms own, Ms took) {
     Machine& from = *leg.source;
     if (own <= 0) return;
@@ -546,9 +542,9 @@
     p.legs.push_back(leg);
   }
 
-  // While the origin is slow beside its calm, only as large a share of misses may lead to it; the others ask
-  // a parent for what it holds, else are declined. Guards against pushing the origin over, whatever slowed
-  // it. Harm: a lasting change of its pace is taken for trouble until calm has followed, some hundred fills.
+  // While the origin is slow beside its calm, only as large a share of misses leads to it; others ask a
+  // parent for what it holds, else are declined. Harm: a lasting change of its pace is taken for trouble at
+  // first.
   bool sparesOrigin(const Pull& p) {
     constexpr double slow = 3, look = 0.1;  // calm answers vary by less; a tenth shows when it is calm again
     if (originWait <= slow * originCalm) return false;
@@ -567,15 +563,19 @@
     if (p.ware->neverKept && may.direct && origin && usable(*origin) && !p.hasFailed(origin) &&
         mayGo(p, *origin))
       return send(p, *origin, origin), true;
+    count(linkLately, 20, linkLevel());
     Machine* at = chooseStore(p);
     Machine* source = at ? chooseSource(p, at) : nullptr;
     if (!at || (!source && p.knownMiss)) return false;  // nothing can fill it: a further look only adds legs
     // When the link fills up, a pull first only looks; a miss is filled while it can be in time. Guards
     // against any surge of misses (cold caches, purges, scans, large objects). Harm: one round trip.
     if (source && source->role != Role::store) {
-      // A link that is not told is learnt from fills that crowded sources stretch too: it gets six tenths.
-      const double pressed = 0.8, ofBearable = linkTold ? 1 : 0.6;
-      if (p.knownMiss && linkLevel() > ofBearable * bearable(p)) return false;
+      // A burst is borne, a level that lasts is cut to six tenths, since sources behind the link are as
+      // crowded and no front sees it; so is that of a link not told, learnt from fills that such sources
+      // stretch.
+      constexpr double pressed = 0.8, least = 0.6;
+      double part = linkTold ? std::clamp(1.8 - 0.6 * meanOf(linkLately, 20), least, 1.0) : least;
+      if (p.knownMiss && linkLevel() > part * bearable(p)) return false;
       bool canLook = !p.knownMiss && static_cast<int>(p.legs.size()) + 1 < mostLegs;
       if (canLook && linkLevel() > pressed) source = nullptr;
     }
@@ -648,7 +648,7 @@
       }
       if (leg.at->role == Role::store && !p.ware->neverKept) {
         if (hit || filled) learnOmega(p, leg, hit);
-        Ms own = sendingOf(p);
+        Ms own = knownSending(p);
         constexpr Ms theWay = 5;  // connection and network inside a location, on the long side
         if (filled && leg.source && leg.source->role != Role::store)
           learnFill(leg, own, e.took - e.waited - theWay);
@@ -675,7 +675,7 @@
   void blame(Pull& p, Leg& leg, const LegEnded& e) {
     Machine* source = leg.source;
     bool sibling = source && source->role == Role::store;
-    Ms own = sendingOf(p);
+    Ms own = knownSending(p);
     if (e.remark != Remark::sourceLacks) p.spared = false;
     if (e.remark == Remark::originFailed) learnOrigin(std::max(e.waited, 10 * originCalm));
     // A fill that was refused, lost or called off late shows a crowded source as well as a slow one does.
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -294,6 +294,33 @@
   assert(filled[0] > 0 && filled[0] < filled[1]);
 }
 
+// A level of the link that lasts lets fewer known misses through than the same level in its first moment.
+static void lastingLevelsDeclineEarlier() {
+  int filled[2] = {};
+  for (int lasting : {0, 1}) {
+    Front f;
+    std::uint64_t object = 0;
+    auto tryMisses = [&](int count) {
+      int fills = 0;
+      for (int i = 0; i < count; ++i) {
+        SendLeg a = f.pull(++object, 0, 2000, 20000);
+        if (a.cache == 0 || a.cache != a.source) continue;
+        f.end(a, Ending::miss);
+        fills += f.leg().cache != 0;
+      }
+      return fills;
+    };
+    for (int i = 0; i < 17; ++i) f.pull(++object, 0, 2000, 20000);
+    for (int i = 0; lasting && i < 8; ++i) {
+      f.now += 500;
+      SendLeg a = f.pull(++object, 0, 2000, 20000);
+      if (a.cache) f.finish(a);
+    }
+    filled[lasting] = tryMisses(100);
+  }
+  assert(filled[0] > 0 && filled[1] < filled[0]);
+}
+
 // No place for a fill is no fault of the cache: hits still go there.
 static void fullFillPlacesAreNoFault() {
   Front f;
@@ -482,6 +509,7 @@
                  {"lost locations decline", lostLocationsDecline},
                  {"single pulls rank low at size", singlePullsRankLowAtSize},
                  {"untold links decline earlier", untoldLinksDeclineEarlier},
+                 {"lasting levels decline earlier", lastingLevelsDeclineEarlier},
                  {"own legs are not taken for dozens", ownLegsAreNotTakenForDozens},
                  {"crowded parents keep a share", crowdedParentsKeepAShare},
                  {"shares below a leg add up", sharesBelowALegAddUp},
