--- a/src/benchlink/host.cpp
+++ b/src/benchlink/host.cpp
@@ -1,6 +1,6 @@
 #include "benchlink/host.hpp"
 
-#include "benchlink/facts.hpp"
+#include "sheet/sheet.hpp"
 
 namespace dunlinwick::benchlink {
 
@@ -25,7 +25,7 @@
     }
     if (code == codeAttach) {
       std::uint64_t seed = in.u64();
-      StoreSheet sheet = readFacts(in.take(in.u32()));
+      StoreSheet sheet = sheet::readSheet(in.take(in.u32()));
       fronts_.erase(who);
       fronts_.emplace(who, Router(sheet, seed));
       continue;
--- /dev/null
+++ b/src/board/board.cpp
@@ -0,0 +1,101 @@
+#include "board/board.hpp"
+
+#include <algorithm>
+#include <charconv>
+
+#include "log/log.hpp"
+
+namespace dunlinwick::board {
+
+using loop::Ms;
+using loop::Parting;
+
+constexpr std::size_t longest = 1 << 20;  // of a line: a whole list of some thousand machines
+
+Board::Board(loop::Loop& loop, exchange::Exchange& exchange, const sheet::RoadTerms& terms,
+             const loop::Address& at)
+    : loop_(loop), exchange_(exchange), terms_(terms), at_(at) {}
+
+Board::~Board() { loop_.cancel(timer_); }
+
+bool Board::begin(const json::Value& known) {
+  const json::Value* notices = known.find("notices", json::Kind::list);
+  auto rev = known.number("rev");
+  if (!notices || !rev || !(*rev >= 0 && *rev < 1e15)) return false;
+  for (const json::Value& one : notices->items) {
+    auto notice = readNotice(one, terms_);
+    if (!notice) return false;
+    pass(*notice);
+  }
+  last_ = static_cast<std::uint64_t>(*rev);
+  return true;
+}
+
+void Board::follow() {
+  ++exchange_.counters.boardConnections;
+  connection_ = std::make_shared<loop::Connection>(loop_, *this, at_, terms_.connectWithin);
+  connection_->readUpTo(longest);
+  connection_->send("watch " + std::to_string(last_) + "\n");
+  heard();
+}
+
+// A line comes every second. After one and a half with none it is asked anew: it costs one connection if it
+// was only late, and what is told there binds whether it arrived or not.
+void Board::heard() {
+  constexpr Ms silence = 1600;
+  loop_.cancel(timer_);
+  timer_ = loop_.at(loop_.now() + silence, [this] {
+    if (connection_) connection_->endAs(Parting::neverUp);
+  });
+}
+
+void Board::came() {
+  heard();
+  for (;;) {
+    std::string_view bytes = connection_->in.bytes();
+    std::size_t end = bytes.find('\n');
+    if (end == bytes.npos) {
+      if (bytes.size() >= longest) connection_->endAs(Parting::malformed);
+      return;
+    }
+    std::string line(bytes.substr(0, end));
+    connection_->in.consume(end + 1);
+    if (!line.empty() && line.back() == '\r') line.pop_back();
+    if (!takeLine(line)) return connection_->endAs(Parting::malformed);
+    pause_ = 0;
+  }
+}
+
+bool Board::takeLine(std::string_view line) {
+  std::uint64_t number = 0;
+  auto [end, fault] = std::from_chars(line.data(), line.data() + line.size(), number);
+  // The number of the last event: where it is beyond ours, something was missed, and asking anew brings it.
+  if (fault == std::errc{} && end == line.data() + line.size()) return number <= last_;
+  auto value = json::read(line);
+  auto notice = value ? readNotice(*value, terms_) : std::nullopt;
+  if (!notice) return false;
+  if (notice->rev <= last_) return true;  // told before
+  if (notice->rev > last_ + 1) return false;
+  last_ = notice->rev;
+  pass(*notice);
+  return true;
+}
+
+void Board::pass(const Notice& n) {
+  if (n.list) exchange_.listCame(n.whole, n.entries);
+  if (n.purge) exchange_.purgeCame(n.wholeGroup, n.object, n.group, n.at);
+}
+
+void Board::ended(Parting how) {
+  constexpr Ms first = 20, most = 500;  // soon, since news binds untold; no busy knocking at a dead board
+  if (how == Parting::malformed) ++exchange_.counters.badNotices;
+  log::say("notice board: connection %s after event %llu", loop::word(how),
+           static_cast<unsigned long long>(last_));
+  loop_.bury(std::move(connection_));
+  connection_ = nullptr;
+  loop_.cancel(timer_);
+  pause_ = std::clamp(2 * pause_, first, most);
+  timer_ = loop_.at(loop_.now() + pause_, [this] { follow(); });
+}
+
+}  // namespace dunlinwick::board
--- /dev/null
+++ b/src/board/board.hpp
@@ -0,0 +1,35 @@
+// Follows the notice board and passes its events on, each once and in order.
+#pragma once
+#include <memory>
+
+#include "board/notices.hpp"
+
+namespace dunlinwick::board {
+
+class Board final : public loop::Connection::Owner {
+ public:
+  Board(loop::Loop& loop, exchange::Exchange& exchange, const sheet::RoadTerms& terms, const loop::Address& at);
+  ~Board();
+  // The events of the start; false where they can't be read.
+  bool begin(const json::Value& known);
+  void follow();
+  std::uint64_t last() const { return last_; }
+
+ private:
+  void came() override;
+  void ended(loop::Parting how) override;
+  bool takeLine(std::string_view line);
+  void pass(const Notice& notice);
+  void heard();
+
+  loop::Loop& loop_;
+  exchange::Exchange& exchange_;
+  sheet::RoadTerms terms_;
+  loop::Address at_;
+  std::uint64_t last_ = 0;  // number of the last event that was passed on
+  std::uint64_t timer_ = 0;
+  loop::Ms pause_ = 0;
+  std::shared_ptr<loop::Connection> connection_;
+};
+
+}  // namespace dunlinwick::board
--- /dev/null
+++ b/src/board/notices.cpp
@@ -0,0 +1,68 @@
+#include "board/notices.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace dunlinwick::board {
+namespace {
+
+using json::Kind;
+using json::Value;
+
+// Of a place that the settings do not name; beyond all of theirs.
+constexpr int unnamed = 65535;
+
+int placeOf(std::string_view name, const std::vector<std::string>& names) {
+  auto at = std::find(names.begin(), names.end(), sheet::plainWord(name));
+  return at == names.end() ? unnamed : static_cast<int>(at - names.begin());
+}
+
+bool readEntry(const Value& v, const sheet::RoadTerms& terms, exchange::Listed& out) {
+  std::string_view state = v.word("state");
+  auto at = loop::readAddress(v.word("addr"));
+  out.id = v.word("id");
+  // The id goes on the caches' lines as a field's value.
+  if (!at || out.id.empty() || out.id.find_first_of(" ,\r\n") != out.id.npos) return false;
+  out.at = *at;
+  out.entry.zone = placeOf(v.word("zone"), terms.zones);
+  out.entry.kind = placeOf(v.word("kind"), terms.kinds);
+  out.entry.cell = static_cast<int>(std::clamp(v.number("cell").value_or(0), 0.0, 65535.0));
+  out.entry.weight = v.number("weight").value_or(1);
+  out.entry.startedAt = v.number("started_ms").value_or(0);
+  if (state == "in_service") out.entry.standing = Standing::ready;
+  else if (state == "terminating") out.entry.standing = Standing::draining;
+  else if (state == "terminated") out.entry.standing = Standing::gone;
+  else return false;
+  return true;
+}
+
+}  // namespace
+
+std::optional<Notice> readNotice(const Value& v, const sheet::RoadTerms& terms) {
+  Notice n;
+  double rev = v.number("rev").value_or(0);
+  if (!(rev >= 1 && rev < 1e15) || rev != std::floor(rev)) return std::nullopt;
+  n.rev = static_cast<std::uint64_t>(rev);
+  if (const Value* pool = v.find("pool")) {
+    const Value *servers = pool->find("servers", Kind::list), *full = pool->find("full", Kind::boolean);
+    if (!servers) return std::nullopt;
+    n.list = true;
+    n.whole = full && full->text == "true";
+    for (const Value& one : servers->items) {
+      n.entries.emplace_back();
+      if (!readEntry(one, terms, n.entries.back())) return std::nullopt;
+    }
+  }
+  if (const Value* flush = v.find("flush")) {
+    auto group = flush->number("collection"), at = flush->number("ms");
+    n.purge = true;
+    n.object = flush->word("asset");
+    n.wholeGroup = n.object.empty();
+    if (!at || (n.wholeGroup && !(group && *group >= 0 && *group <= 65535))) return std::nullopt;
+    n.group = static_cast<int>(group.value_or(0));
+    n.at = *at;
+  }
+  return n;
+}
+
+}  // namespace dunlinwick::board
--- /dev/null
+++ b/src/board/notices.hpp
@@ -0,0 +1,24 @@
+// One notice of the board: changes to the list of machines, or a purge.
+#pragma once
+#include <optional>
+
+#include "exchange/exchange.hpp"
+#include "json/json.hpp"
+#include "sheet/sheet.hpp"
+
+namespace dunlinwick::board {
+
+struct Notice {
+  std::uint64_t rev = 0;
+  bool list = false, whole = false;
+  std::vector<exchange::Listed> entries;
+  bool purge = false, wholeGroup = false;
+  std::string object;
+  int group = 0;
+  Ms at = 0;  // of the purge
+};
+
+// Nothing where it can't be read. A notice of a kind not known here is one of neither list nor purge.
+std::optional<Notice> readNotice(const json::Value& notice, const sheet::RoadTerms& terms);
+
+}  // namespace dunlinwick::board
--- /dev/null
+++ b/src/caches/caches.cpp
@@ -0,0 +1,268 @@
+#include "caches/caches.hpp"
+
+#include <algorithm>
+
+#include "log/log.hpp"
+
+namespace dunlinwick::caches {
+
+using exchange::Ask;
+using exchange::LegKey;
+using loop::Parting;
+
+// A connection to one machine. Answers come in any order; a late one, for what was given up, is dropped.
+class Caches::Line final : public loop::Connection::Owner {
+ public:
+  Line(Caches& all, std::uint32_t cache, std::uint64_t number, const loop::Address& at)
+      : all_(all),
+        cache_(cache),
+        number_(number),
+        heardAt_(all.loop_.now()),
+        usedAt_(heardAt_),
+        connection_(all.loop_, *this, at, all.terms_.connectWithin) {}
+
+  std::uint64_t number() const { return number_; }
+  bool idle() const { return open_.empty(); }
+  Ms usedAt() const { return usedAt_; }
+
+  // The peer closes what has been idle for the stated time. A request could cross that close and be taken for
+  // one that may have run; so it is not used in the last tenth of that time.
+  bool fit(const std::string& id) const {
+    return !connection_.isOver() && !stale_ && open_.count(id) == 0 &&
+           open_.size() < static_cast<std::size_t>(all_.terms_.legsAtOnce) &&
+           (!idle() || all_.loop_.now() - usedAt_ < 0.9 * all_.terms_.idleFor);
+  }
+
+  void leg(LegKey key, const std::string& id, std::string bytes) {
+    open_[id] = {key, false, connection_.send(std::move(bytes)), all_.loop_.now()};
+    usedAt_ = all_.loop_.now();
+  }
+  void probe(const std::string& id) {
+    Ms now = all_.loop_.now();
+    open_[id] = {{}, true, connection_.send(probeLine(id)), now};
+    usedAt_ = now;
+    // No time is stated for a probe; what a connection is given to come up does for a small answer too.
+    all_.loop_.at(now + all_.terms_.connectWithin, [&all = all_, cache = cache_, number = number_, id] {
+      auto& lines = all.machines_.at(cache).lines;
+      if (auto at = lines.find(number); at != lines.end()) at->second->probeOverdue(id);
+    });
+  }
+
+  bool has(LegKey key, const std::string& id) const {
+    auto at = open_.find(id);
+    return at != open_.end() && !at->second.probe && at->second.key.pull == key.pull &&
+           at->second.key.leg == key.leg;
+  }
+  void giveUp(const std::string& id) {
+    Open given = open_.at(id);
+    open_.erase(id);
+    usedAt_ = all_.loop_.now();
+    doubt(given.sentAt);
+    if (!connection_.takeBack(given.mark)) connection_.send(neverMindLine(id));
+  }
+
+  void sweep(Ms now) {
+    if (idle() && (stale_ || now - usedAt_ >= 0.9 * all_.terms_.idleFor)) all_.drop(cache_, number_);
+  }
+  void end(Parting how) { connection_.endAs(how); }
+
+  void came() override {
+    heardAt_ = usedAt_ = all_.loop_.now();
+    while (!connection_.isOver() && readOne()) {
+    }
+  }
+
+  void ended(Parting how) override {
+    if (how == Parting::malformed) {
+      ++all_.exchange_.counters.badLines;
+      log::say("%s: malformed line; its connection ends", all_.machines_.at(cache_).id.c_str());
+    }
+    auto lost = std::move(open_);
+    open_.clear();
+    std::map<std::string, bool> whole;
+    for (auto& [id, open] : lost) whole[id] = !connection_.unsent(open.mark);
+    Caches& all = all_;
+    std::uint32_t cache = cache_;
+    all.drop(cache, number_);  // this object lives until the turn is over
+    for (auto& [id, open] : lost)
+      if (open.probe) all.exchange_.probeEnded(cache, false, all.loop_.now() - open.sentAt, {});
+      else all.exchange_.legLost(open.key, how, whole[id]);
+  }
+
+ private:
+  struct Open {
+    LegKey key;
+    bool probe = false;
+    std::uint64_t mark = 0;
+    Ms sentAt = 0;
+  };
+
+  // Nothing heard since long before what was given up now was sent: the other side may have vanished without
+  // a word. Nothing new goes here; a new connection shows whether it is there.
+  void doubt(Ms sentAt) {
+    if (heardAt_ < sentAt && all_.loop_.now() - sentAt > all_.terms_.connectWithin) stale_ = true;
+  }
+  void probeOverdue(const std::string& id) {
+    auto at = open_.find(id);
+    if (at == open_.end()) return;
+    Ms sentAt = at->second.sentAt;
+    open_.erase(at);
+    doubt(sentAt - 1);
+    all_.exchange_.probeEnded(cache_, false, all_.loop_.now() - sentAt, {});
+  }
+
+  bool readOne() {
+    std::string_view bytes = connection_.in.bytes();
+    if (!reading_) {
+      std::size_t end = bytes.substr(0, longestLine).find("\r\n");
+      if (end == bytes.npos) {
+        if (bytes.size() >= longestLine) connection_.endAs(Parting::malformed);
+        return false;
+      }
+      auto answer = readAnswer(bytes.substr(0, end), all_.terms_.reported);
+      if (!answer) return connection_.endAs(Parting::malformed), false;
+      connection_.in.consume(end + 2);
+      answer_ = std::move(*answer);
+      left_ = answer_.length;
+      reading_ = true;
+      if (Open* open = theirs(); open && !open->probe)
+        all_.exchange_.answerBegun(open->key, answer_.word, answer_.length);
+      return true;
+    }
+    if (left_ > 0) {
+      std::string_view part = bytes.substr(0, left_);
+      if (part.empty()) return false;
+      if (Open* open = theirs(); open && !open->probe) all_.exchange_.answerBytes(open->key, part);
+      left_ -= part.size();
+      connection_.in.consume(part.size());
+      return true;
+    }
+    if (bytes.size() < 2) return false;
+    if (bytes.substr(0, 2) != "\r\n") return connection_.endAs(Parting::malformed), false;
+    connection_.in.consume(2);
+    reading_ = false;
+    answered();
+    return true;
+  }
+
+  // What the answer that is being read belongs to; null if it was given up.
+  Open* theirs() {
+    auto at = open_.find(answer_.id);
+    return at == open_.end() || at->second.probe != answer_.probe ? nullptr : &at->second;
+  }
+
+  void answered() {
+    Open* found = theirs();
+    if (!found) {
+      ++all_.exchange_.counters.lateAnswers;
+      return;
+    }
+    Open open = *found;
+    open_.erase(answer_.id);
+    if (open.probe)
+      all_.exchange_.probeEnded(cache_, answer_.well, all_.loop_.now() - open.sentAt, answer_.word.report);
+    else all_.exchange_.answerWhole(open.key, answer_.word);
+  }
+
+  Caches& all_;
+  std::uint32_t cache_;
+  std::uint64_t number_;
+  bool stale_ = false, reading_ = false;
+  Ms heardAt_, usedAt_;
+  Answer answer_;  // the one being read, and how many of its bytes are still to come
+  std::size_t left_ = 0;
+  std::map<std::string, Open> open_;  // emptied by answers, giving up, overdue probes and the end
+  loop::Connection connection_;
+};
+
+Caches::Caches(loop::Loop& loop, exchange::Exchange& exchange, sheet::RoadTerms terms, std::size_t most)
+    : loop_(loop), exchange_(exchange), terms_(std::move(terms)), most_(most) {
+  sweep();
+}
+
+Caches::~Caches() { loop_.cancel(sweep_); }
+
+void Caches::drop(std::uint32_t cache, std::uint64_t line) {
+  auto& lines = machines_.at(cache).lines;
+  auto at = lines.find(line);
+  if (at == lines.end()) return;
+  loop_.bury(std::move(at->second));
+  lines.erase(at);
+  --count_;
+}
+
+bool Caches::dropIdle() {
+  std::uint32_t cache = 0;
+  Line* longest = nullptr;
+  for (auto& [id, m] : machines_)
+    for (auto& [number, line] : m.lines)
+      if (line->idle() && (!longest || line->usedAt() < longest->usedAt())) cache = id, longest = line.get();
+  if (longest) drop(cache, longest->number());
+  return longest != nullptr;
+}
+
+Caches::Line* Caches::lineFor(Machine& m, std::uint32_t cache, const std::string& id,
+                              const std::vector<std::uint64_t>& avoid) {
+  for (auto& [number, line] : m.lines)
+    if (line->fit(id) && std::find(avoid.begin(), avoid.end(), number) == avoid.end()) return line.get();
+  if (count_ >= most_ && !dropIdle()) return nullptr;
+  ++count_;
+  ++exchange_.counters.cacheConnections;
+  std::uint64_t number = ++last_;
+  return (m.lines[number] = std::make_shared<Line>(*this, cache, number, m.at)).get();
+}
+
+std::uint64_t Caches::send(LegKey key, const Ask& ask, const SendLeg& how,
+                           const std::vector<std::uint64_t>& avoid) {
+  auto at = machines_.find(how.cache), source = machines_.find(how.source);
+  Line* line = at == machines_.end() || source == machines_.end()
+                   ? nullptr
+                   : lineFor(at->second, how.cache, ask.id, avoid);
+  if (!line) {
+    exchange_.legLost(key, Parting::noDescriptor, false);
+    return 0;
+  }
+  line->leg(key, ask.id, wantLine(ask, how, how.source == how.cache ? "" : source->second.id));
+  return line->number();
+}
+
+void Caches::giveUp(LegKey key, const Ask& ask, std::uint32_t cache) {
+  auto at = machines_.find(cache);
+  if (at == machines_.end()) return;
+  for (auto& [number, line] : at->second.lines)
+    if (line->has(key, ask.id)) return line->giveUp(ask.id);
+}
+
+void Caches::probe(std::uint32_t cache) {
+  auto at = machines_.find(cache);
+  std::string id = "probe-" + std::to_string(++last_);
+  if (Line* line = at == machines_.end() ? nullptr : lineFor(at->second, cache, id, {})) line->probe(id);
+  else exchange_.probeEnded(cache, false, 0, {});
+}
+
+void Caches::list(const ListEntry& entry, const std::string& id, const loop::Address& at) {
+  Machine& m = machines_[entry.cache];
+  bool another = !m.id.empty() && (m.startedAt != entry.startedAt || m.at.sin_port != at.sin_port ||
+                                   m.at.sin_addr.s_addr != at.sin_addr.s_addr);
+  m.id = id;
+  m.at = at;
+  m.startedAt = entry.startedAt;
+  // Its connections lead to the process that was there before, which may have vanished without a word. So do
+  // those of another machine whose address this one has been given.
+  for (auto& [other, one] : machines_) {
+    bool there = one.at.sin_port == at.sin_port && one.at.sin_addr.s_addr == at.sin_addr.s_addr;
+    if (other == entry.cache ? another : there && entry.standing == Standing::ready)
+      for (auto& [number, line] : one.lines) line->end(Parting::replaced);
+  }
+}
+
+void Caches::sweep() {
+  constexpr Ms often = 1000;  // idle connections may stay a moment longer
+  std::vector<std::shared_ptr<Line>> all;
+  for (auto& [id, m] : machines_)
+    for (auto& [number, line] : m.lines) all.push_back(line);
+  for (auto& line : all) line->sweep(loop_.now());
+  sweep_ = loop_.at(loop_.now() + often, [this] { sweep(); });
+}
+
+}  // namespace dunlinwick::caches
--- /dev/null
+++ b/src/caches/caches.hpp
@@ -0,0 +1,43 @@
+// The caches' side: connections to caches, parents and the origin, each carrying many legs and probes.
+#pragma once
+#include <memory>
+
+#include "caches/lines.hpp"
+#include "sheet/sheet.hpp"
+
+namespace dunlinwick::caches {
+
+class Caches final : public exchange::CacheSide {
+ public:
+  // `most`: connections at once, over all machines.
+  Caches(loop::Loop& loop, exchange::Exchange& exchange, sheet::RoadTerms terms, std::size_t most);
+  ~Caches();
+  std::uint64_t send(exchange::LegKey key, const exchange::Ask& ask, const SendLeg& how,
+                     const std::vector<std::uint64_t>& avoid) override;
+  void giveUp(exchange::LegKey key, const exchange::Ask& ask, std::uint32_t cache) override;
+  void probe(std::uint32_t cache) override;
+  void list(const ListEntry& entry, const std::string& id, const loop::Address& at) override;
+
+ private:
+  class Line;
+  friend class Line;
+  struct Machine {
+    std::string id;
+    loop::Address at{};
+    Ms startedAt = 0;
+    std::map<std::uint64_t, std::shared_ptr<Line>> lines;  // by number; emptied as they end
+  };
+  Line* lineFor(Machine& m, std::uint32_t cache, const std::string& id, const std::vector<std::uint64_t>& avoid);
+  void drop(std::uint32_t cache, std::uint64_t line);
+  bool dropIdle();
+  void sweep();
+
+  loop::Loop& loop_;
+  exchange::Exchange& exchange_;
+  sheet::RoadTerms terms_;
+  std::size_t most_, count_ = 0;
+  std::uint64_t last_ = 0, sweep_ = 0;
+  std::map<std::uint32_t, Machine> machines_;  // as many as were ever listed
+};
+
+}  // namespace dunlinwick::caches
--- /dev/null
+++ b/src/clients/clients.cpp
@@ -0,0 +1,283 @@
+#include "clients/clients.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+
+#include "log/log.hpp"
+
+namespace dunlinwick::clients {
+
+using exchange::Ask;
+using loop::Ms;
+using loop::Parting;
+
+namespace {
+
+constexpr Ms second = 1000;
+// Clients close connections idle for 4 s; later than that, so that no request crosses a close of ours.
+constexpr Ms idleFor = 10 * second;
+// For a request to come whole, or an answer to be taken: no pull lasts as long, and a dead peer must go.
+constexpr Ms slowest = 15 * second;
+constexpr Ms lingerFor = second;  // reads on after a refusal, so that a reset does not overtake it
+
+std::optional<double> number(std::string_view text, double low, double high) {
+  double v = 0;
+  auto [end, fault] = std::from_chars(text.data(), text.data() + text.size(), v);
+  if (text.empty() || fault != std::errc{} || end != text.data() + text.size() || !(v >= low && v <= high))
+    return std::nullopt;
+  return v;
+}
+
+bool isId(std::string_view text) {
+  return text.size() == 16 && std::all_of(text.begin(), text.end(), [](char c) {
+    return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'f') || (c >= 'A' && c <= 'F');
+  });
+}
+
+// One strong tag, bare, of bytes that fit a field on the caches' lines; else none is passed on, which only
+// costs the bytes of an answer.
+std::string_view bareTag(std::string_view text) {
+  if (text.size() < 3 || text.front() != '"' || text.back() != '"') return {};
+  text = text.substr(1, text.size() - 2);
+  bool fits = std::all_of(text.begin(), text.end(), [](char c) { return c > ' ' && c < 127 && c != '"' && c != ','; });
+  return fits ? text : std::string_view{};
+}
+
+}  // namespace
+
+class Clients::Client final : public loop::Connection::Owner, exchange::Asker {
+ public:
+  Client(Clients& all, std::uint64_t number, loop::Descriptor fd)
+      : all_(all), number_(number), connection_(all.loop_, *this, std::move(fd)), since_(all.loop_.now()) {}
+
+  bool idle() const { return !open_ && !closing_ && connection_.in.size() == 0 && connection_.drainedOut(); }
+  // Half a request is none: its client is told by the close, and nothing was taken.
+  bool mayGo() const { return !open_ && !closing_ && connection_.drainedOut(); }
+  Ms since() const { return since_; }
+
+  // Closes it where it has been idle, half read, or not been taking its answer for too long.
+  void sweep(Ms now) {
+    if (open_) return;
+    Ms limit = closing_ ? lingerFor : idle() ? idleFor : slowest;
+    if (closing_ && !connection_.drainedOut()) limit = slowest;
+    if (now - since_ < limit) return;
+    if (!idle() && !closing_ && connection_.drainedOut()) return refuse(408);
+    drop();
+  }
+  void drop() {
+    connection_.close();
+    all_.gone(number_);
+  }
+
+  void came() override { readOn(); }
+  void drained() override {
+    since_ = all_.loop_.now();
+    if (closing_) return connection_.sayNoMore();
+    readOn();
+  }
+  void ended(Parting) override {
+    if (open_) all_.exchange_.clientLeft(pull_);
+    drop();
+  }
+
+  // ---- answers
+  void finished(const std::string& tag, std::string body) override {
+    std::vector<Field> fields{{"Content-Type", "application/octet-stream"}};
+    if (!tag.empty()) fields.push_back({"ETag", '"' + tag + '"'});
+    answer(200, std::move(body), fields);
+  }
+  void unchanged(const std::string& tag) override {
+    answer(304, {}, tag.empty() ? std::vector<Field>{} : std::vector<Field>{{"ETag", '"' + tag + '"'}});
+  }
+  void declined(Ms retryAfter) override {
+    // Whole milliseconds, up: the client is to stay away for at least the time named.
+    std::vector<Field> fields;
+    if (retryAfter > 0) fields.push_back({"Retry-After-Ms", std::to_string(std::lround(std::ceil(retryAfter)))});
+    answer(503, {}, fields);
+  }
+  void abandoned() override { answer(502, {}, {}); }
+  void begun(const std::string& tag, std::size_t length) override {
+    std::vector<Field> fields{{"Content-Type", "application/octet-stream"}};
+    if (!tag.empty()) fields.push_back({"ETag", '"' + tag + '"'});
+    connection_.send(answerHead(200, length, stays(), fields));
+  }
+  void more(std::string_view bytes) override { connection_.send(std::string(bytes)); }
+  void completed() override { done(); }
+  // Fewer bytes than the head promised, then the end: the client can tell.
+  void brokeOff() override {
+    open_ = false;
+    closing_ = true;
+    since_ = all_.loop_.now();
+    if (connection_.drainedOut()) connection_.sayNoMore();
+  }
+
+ private:
+  bool stays() const { return keepAlive_ && !all_.leaving_; }
+  void done() {
+    open_ = false;
+    since_ = all_.loop_.now();
+    if (!stays()) closing_ = true;
+    if (closing_ && connection_.drainedOut()) connection_.sayNoMore();
+    // What waits in the buffer is read after this turn's call, not from within an answer.
+    if (!closing_ && !reading_ && connection_.in.size() > 0)
+      all_.loop_.at(since_, [&all = all_, number = number_] {
+        if (auto at = all.open_.find(number); at != all.open_.end()) at->second->readOn();
+      });
+  }
+  void answer(int status, std::string body, const std::vector<Field>& fields) {
+    connection_.send(answerHead(status, body.size(), stays(), fields));
+    if (!body.empty()) connection_.send(std::move(body));
+    done();
+  }
+  void refuse(int status) {
+    ++all_.exchange_.counters.badRequests;
+    log::say("client %llu: request refused with %d", static_cast<unsigned long long>(number_), status);
+    keepAlive_ = false;
+    connection_.in.release();
+    answer(status, {}, status == 405 ? std::vector<Field>{{"Allow", "GET, PUT"}} : std::vector<Field>{});
+  }
+
+  void readOn() {
+    if (reading_) return;
+    reading_ = true;
+    // One request at a time, and none while the last answer is still going out: that bounds what is held.
+    while (!open_ && !closing_ && connection_.drainedOut() && connection_.in.size() > 0 && readOne()) {
+    }
+    if (closing_) connection_.in.release();  // lingers: what still comes is not looked at
+    reading_ = false;
+  }
+
+  bool readOne() {
+    if (lastEmpty_) since_ = all_.loop_.now();
+    Reading reading = readRequest(connection_.in.bytes(), exchange::mostWritten);
+    if (reading.fault != 0) return refuse(reading.fault), false;
+    lastEmpty_ = reading.whole;
+    if (!reading.whole) {
+      if (reading.wantsContinue && !std::exchange(continued_, true))
+        connection_.send("HTTP/1.1 100 Continue\r\n\r\n");
+      return false;
+    }
+    continued_ = false;
+    keepAlive_ = reading.request.keepAlive;
+    take(reading.request);
+    if (!closing_) connection_.in.consume(reading.request.size);
+    return true;
+  }
+
+  void take(const Request& r) {
+    if (r.path == "/alive") {
+      if (r.method != "GET") return refuse(405);
+      return answer(all_.exchange_.ready() && !all_.winding_ ? 200 : 503, {}, {});
+    }
+    Ask ask;
+    if (int status = readAsk(r, ask); status != 0) return refuse(status);
+    open_ = true;
+    std::uint32_t pull = all_.exchange_.pullCame(std::move(ask), *this);
+    pull_ = pull;
+  }
+
+  // The status with which the request is refused, or 0.
+  int readAsk(const Request& r, Ask& ask) const {
+    if (!r.path.starts_with("/ops/")) return 404;
+    std::string_view names = r.path.substr(5);
+    std::size_t slash = names.find('/');
+    if (slash == names.npos) return 404;
+    ask.offering = names.substr(0, slash);
+    ask.object = names.substr(slash + 1);
+    auto at = std::find(all_.offerings_.begin(), all_.offerings_.end(), ask.offering);
+    if (at == all_.offerings_.end() || !isToken(ask.object)) return 404;
+    ask.offeringAt = static_cast<int>(at - all_.offerings_.begin());
+    bool writes = all_.written_[static_cast<std::size_t>(ask.offeringAt)];
+    if (r.method != (writes ? "PUT" : "GET")) return 405;
+    if (!writes && !r.body.empty()) return 400;
+    ask.body = r.body;
+    ask.id = r.header("X-Request-Id");
+    if (!isId(ask.id)) return 400;
+    std::string_view query = r.query;
+    if (!query.empty()) {
+      if (!query.starts_with("part=")) return 400;
+      ask.part = query.substr(5);
+      auto part = number(ask.part, 0, 1e9);
+      if (!part || ask.part.find_first_not_of("0123456789") != ask.part.npos) return 400;
+      ask.partNumber = static_cast<int>(*part);
+    }
+    auto ttl = number(r.header("X-Timeout-Ms"), 0, 1e7), group = number(r.header("X-Group"), 0, 255);
+    if (!ttl || !group) return 400;
+    ask.ttl = *ttl;
+    ask.group = static_cast<int>(*group);
+    if (r.has("X-Memory-Kb")) {
+      auto size = number(r.header("X-Memory-Kb"), 0, 1e9);
+      if (!size) return 400;
+      ask.sizeKb = *size;
+    }
+    ask.tag = bareTag(r.header("If-None-Match"));
+    return 0;
+  }
+
+  Clients& all_;
+  std::uint64_t number_;
+  loop::Connection connection_;
+  bool open_ = false;      // a pull is owed its answer
+  bool closing_ = false;   // said all: what goes out is the last
+  bool keepAlive_ = true, reading_ = false, continued_ = false, lastEmpty_ = true;
+  std::uint32_t pull_ = 0;
+  Ms since_;              // the last request's or answer's end
+};
+
+Clients::Clients(loop::Loop& loop, exchange::Exchange& exchange, const std::vector<std::string>& offerings,
+                 std::vector<bool> written, const loop::Address& at, std::size_t most)
+    : loop_(loop),
+      exchange_(exchange),
+      offerings_(offerings),
+      written_(std::move(written)),
+      most_(most),
+      listener_(loop, at, [this](loop::Descriptor fd) { taken(std::move(fd)); }) {
+  sweep();
+}
+
+Clients::~Clients() { loop_.cancel(sweep_); }
+
+void Clients::taken(loop::Descriptor fd) {
+  ++exchange_.counters.clientConnections;
+  std::uint64_t number = ++last_;
+  open_[number] = std::make_shared<Client>(*this, number, std::move(fd));
+  // At the limit the longest idle one makes room; if none is, new ones wait in the backlog until one ends.
+  if (open_.size() >= most_ && !dropIdle()) listener_.pause();
+}
+
+bool Clients::dropIdle() {
+  Client* longest = nullptr;
+  for (auto& [number, client] : open_)
+    if (number != last_ && client->idle() && (!longest || client->since() < longest->since()))
+      longest = client.get();
+  if (longest) longest->drop();
+  return longest != nullptr;
+}
+
+void Clients::gone(std::uint64_t number) {
+  auto at = open_.find(number);
+  if (at == open_.end()) return;
+  loop_.bury(std::move(at->second));
+  open_.erase(at);
+  if (!leaving_) listener_.resume();
+}
+
+void Clients::sweep() {
+  Ms now = loop_.now();
+  exchange_.counters.shortOfDescriptors += std::exchange(listener_.shortOfDescriptors, 0);
+  std::vector<std::shared_ptr<Client>> all;
+  for (auto& [number, client] : open_) all.push_back(client);
+  for (auto& client : all) client->sweep(now);
+  sweep_ = loop_.at(now + second / 4, [this] { sweep(); });
+}
+
+void Clients::leave() {
+  if (!std::exchange(leaving_, true)) listener_.close();
+  std::vector<std::shared_ptr<Client>> all;
+  for (auto& [number, client] : open_) all.push_back(client);
+  for (auto& client : all)
+    if (client->mayGo()) client->drop();
+}
+
+}  // namespace dunlinwick::clients
--- /dev/null
+++ b/src/exchange/exchange.cpp
@@ -0,0 +1,282 @@
+#include "exchange/exchange.hpp"
+
+#include <algorithm>
+#include <set>
+
+#include "log/log.hpp"
+
+namespace dunlinwick::exchange {
+
+using loop::Parting;
+
+Ending endingOf(Parting how, bool writtenWhole) {
+  switch (how) {
+    case Parting::refused:
+    case Parting::neverUp:
+    case Parting::noDescriptor:
+      return Ending::noConnection;
+    case Parting::closed:
+    case Parting::reset:
+    case Parting::malformed:
+    case Parting::replaced:
+    case Parting::letGo:
+      // Half a line is no request: what was not written whole never ran. What was may have.
+      return writtenWhole ? Ending::broken : Ending::noConnection;
+  }
+  return Ending::broken;
+}
+
+// The same at all fronts, since the decisions hash it: FNV-1a.
+static std::uint64_t hashed(std::string_view name) {
+  std::uint64_t h = 0xcbf29ce484222325ull;
+  for (char c : name) h = (h ^ static_cast<unsigned char>(c)) * 0x100000001b3ull;
+  return h;
+}
+
+Exchange::Exchange(loop::Loop& loop, const StoreSheet& sheet, std::uint64_t seed)
+    : loop_(loop), router_(sheet, seed), offerings_(sheet.offerings) {}
+
+// ---- the decisions
+
+void Exchange::tell(Event event) {
+  untold_.push_back(std::move(event));
+  if (telling_) return;  // what an action leads to is told after it
+  telling_ = true;
+  while (!untold_.empty()) {
+    Event next = std::move(untold_.front());
+    untold_.pop_front();
+    for (const Action& action : router_.handle(loop_.now(), next))
+      std::visit([this](const auto& a) { act(a); }, action);
+  }
+  telling_ = false;
+  for (std::uint32_t pull : ended_)
+    if (Pull* p = known(pull); p && !p->asker && std::none_of(p->legs.begin(), p->legs.end(), isOut))
+      pulls_.erase(pull);
+  ended_.clear();
+}
+
+Asker* Exchange::close(std::uint32_t pull) {
+  ended_.push_back(pull);
+  return std::exchange(known(pull)->asker, nullptr);
+}
+
+void Exchange::act(const SendLeg& a) {
+  Pull* p = known(a.pull);
+  if (!p) return;
+  LegKey key{a.pull, static_cast<int>(p->legs.size())};
+  std::vector<std::uint64_t> avoid;
+  // The legs of a pull share its id. On a connection where one was given up unanswered, or is still out, its
+  // answer would pass for this leg's.
+  for (const Leg& leg : p->legs)
+    if (leg.cache == a.cache && !leg.answered && leg.via != 0) avoid.push_back(leg.via);
+  Ms now = loop_.now();
+  Leg leg;
+  leg.cache = a.cache;
+  leg.sentAt = now;
+  p->legs.push_back(std::move(leg));
+  ++counters.legs;
+  counters.fills += a.source != a.cache;
+  if (!p->asker || p->streaming >= 0) return endLeg(key, Ending::moot);
+  SendLeg how = a;
+  how.patience = a.patience > 0 ? std::min(a.patience, p->expiresAt - now) : p->expiresAt - now;
+  if (how.patience <= 0) return endLeg(key, Ending::moot);
+  loop_.at(now + how.patience, [this, key] {
+    if (!legOut(key) || known(key.pull)->streaming == key.leg) return;
+    caches_->giveUp(key, known(key.pull)->ask, legOut(key)->cache);
+    endLeg(key, Ending::timedOut);
+  });
+  std::uint64_t via = caches_->send(key, p->ask, how, avoid);
+  if (Leg* sent = legOut(key)) sent->via = via;
+}
+
+void Exchange::act(const CancelLeg& a) {
+  LegKey key{a.pull, a.leg};
+  Leg* leg = legOut(key);
+  if (!leg || known(a.pull)->streaming == a.leg) return;
+  caches_->giveUp(key, known(a.pull)->ask, leg->cache);
+  endLeg(key, Ending::cancelled);
+}
+
+void Exchange::act(const DeclinePull& a) {
+  Pull* p = known(a.pull);
+  if (!p || !p->asker || p->streaming >= 0) return;
+  ++counters.declined;
+  close(a.pull)->declined(a.retryAfter);
+}
+
+void Exchange::act(const AbandonPull& a) {
+  Pull* p = known(a.pull);
+  if (!p || !p->asker || p->streaming >= 0) return;
+  ++counters.abandoned;
+  close(a.pull)->abandoned();
+}
+
+void Exchange::act(const WakeMe& a) {
+  loop_.at(a.at, [this, handle = a.handle] { tell(WakeUp{handle}); });
+}
+
+void Exchange::act(const ProbeCache& a) {
+  ++counters.probes;
+  caches_->probe(a.cache);
+}
+
+void Exchange::act(const WriteLine& a) { log::say("%s", a.text.c_str()); }
+
+// ---- pulls
+
+Exchange::Pull* Exchange::known(std::uint32_t pull) {
+  auto at = pulls_.find(pull);
+  return at == pulls_.end() ? nullptr : &at->second;
+}
+
+std::uint32_t Exchange::pullCame(Ask ask, Asker& asker) {
+  do ++lastPull_;
+  while (pulls_.count(lastPull_));
+  std::uint32_t number = lastPull_;
+  PullCame e;
+  e.pull = number;
+  e.offering = ask.offeringAt;
+  e.object = hashed(ask.object);
+  e.part = ask.partNumber;
+  e.group = ask.group;
+  e.ttl = ask.ttl;
+  e.sizeKb = ask.sizeKb;
+  Pull& p = pulls_[number];
+  p.expiresAt = loop_.now() + ask.ttl;
+  p.ask = std::move(ask);
+  p.asker = &asker;
+  ++counters.pulls;
+  tell(e);
+  return number;
+}
+
+void Exchange::clientLeft(std::uint32_t pull) {
+  Pull* p = known(pull);
+  if (!p || !p->asker) return;
+  ++counters.left;
+  close(pull);
+  // A leg that the client was being sent is its own, and goes with it.
+  if (int leg = std::exchange(p->streaming, -1); leg >= 0) act(CancelLeg{pull, leg});
+  tell(ClientLeft{pull});
+}
+
+// ---- legs
+
+Exchange::Leg* Exchange::legOut(LegKey key) {
+  Pull* p = known(key.pull);
+  if (!p || key.leg < 0 || key.leg >= static_cast<int>(p->legs.size())) return nullptr;
+  Leg& leg = p->legs[static_cast<std::size_t>(key.leg)];
+  return leg.out ? &leg : nullptr;
+}
+
+void Exchange::count(Ending ending) {
+  Counters::Count* counts[] = {&counters.legsFinished, &counters.errors, &counters.full,
+                               &counters.timedOut,     &counters.neverRan, &counters.broken,
+                               &counters.cancelled,    &counters.moot,   &counters.misses};
+  ++*counts[static_cast<int>(ending)];
+}
+
+void Exchange::endLeg(LegKey key, Ending ending, const Word& word) {
+  Pull* p = known(key.pull);
+  Leg& leg = p->legs[static_cast<std::size_t>(key.leg)];
+  leg.out = false;
+  leg.bytes = {};
+  count(ending);
+  LegEnded e;
+  e.pull = key.pull;
+  e.cache = leg.cache;
+  e.leg = key.leg;
+  e.ending = ending;
+  e.took = loop_.now() - leg.sentAt;
+  e.final = !p->asker;
+  e.remark = word.remark;
+  e.waited = word.waited;
+  e.report = word.report;
+  if (!p->asker) ended_.push_back(key.pull);
+  tell(std::move(e));
+}
+
+void Exchange::answerBegun(LegKey key, const Word& word, std::size_t length) {
+  Leg* leg = legOut(key);
+  if (!leg) return;
+  leg->bytes.reserve(length);
+  Pull& p = *known(key.pull);
+  if (!offerings_[static_cast<std::size_t>(p.ask.offeringAt)].streams || !p.asker || p.streaming >= 0 ||
+      word.ending != Ending::finished || word.unchanged)
+    return;
+  p.streaming = key.leg;
+  p.asker->begun(word.tag, length);
+  tell(LegStarted{key.pull, leg->cache, key.leg});
+}
+
+void Exchange::answerBytes(LegKey key, std::string_view bytes) {
+  Leg* leg = legOut(key);
+  if (!leg) return;
+  Pull& p = *known(key.pull);
+  if (p.streaming != key.leg) leg->bytes.append(bytes);
+  else if (p.asker) p.asker->more(bytes);
+}
+
+void Exchange::answerWhole(LegKey key, const Word& word) {
+  Leg* leg = legOut(key);
+  if (!leg) return;
+  leg->answered = true;
+  Pull& p = *known(key.pull);
+  if (word.ending == Ending::finished && p.asker && (p.streaming < 0 || p.streaming == key.leg)) {
+    Asker* asker = close(key.pull);
+    ++(word.unchanged ? counters.unchanged : counters.finished);
+    if (word.unchanged) asker->unchanged(word.tag);
+    else if (p.streaming < 0) asker->finished(word.tag, std::move(leg->bytes));
+    else asker->completed();
+  }
+  endLeg(key, word.ending, word);
+}
+
+void Exchange::legLost(LegKey key, Parting how, bool writtenWhole) {
+  if (!legOut(key)) return;
+  Pull& p = *known(key.pull);
+  if (p.streaming == key.leg && p.asker) {
+    ++counters.brokenMidway;
+    close(key.pull)->brokeOff();
+  }
+  endLeg(key, endingOf(how, writtenWhole));
+}
+
+void Exchange::probeEnded(std::uint32_t cache, bool answered, Ms took, std::vector<float> report) {
+  counters.probesAnswered += answered;
+  tell(ProbeEnded{cache, answered, took, std::move(report)});
+}
+
+// ---- the notice board
+
+std::uint32_t Exchange::numberOf(const std::string& machine) {
+  auto at = numbers_.find(machine);
+  if (at != numbers_.end()) return at->second;
+  std::uint64_t h = hashed(machine);
+  auto number = static_cast<std::uint32_t>(h ^ h >> 32);
+  auto taken = [&] {
+    return std::any_of(numbers_.begin(), numbers_.end(), [&](auto& one) { return one.second == number; });
+  };
+  while (number == 0 || taken()) ++number;
+  return numbers_[machine] = number;
+}
+
+void Exchange::listCame(bool whole, const std::vector<Listed>& entries) {
+  ++counters.listNews;
+  ListNews news;
+  news.listing = whole ? Listing::whole : Listing::changes;
+  for (const Listed& one : entries) {
+    news.entries.push_back(one.entry);
+    news.entries.back().cache = numberOf(one.id);
+    caches_->list(news.entries.back(), one.id, one.at);
+  }
+  listed_ |= whole;
+  tell(std::move(news));
+}
+
+void Exchange::purgeCame(bool wholeGroup, std::string_view object, int group, Ms at) {
+  ++counters.purges;
+  tell(Purged{wholeGroup, wholeGroup ? 0 : hashed(object), group, loop_.now() - at});
+}
+
+}  // namespace dunlinwick::exchange
--- /dev/null
+++ b/src/exchange/exchange.hpp
@@ -0,0 +1,150 @@
+// Where the clients' side and the caches' side meet: the pulls and legs in flight, and the decisions. Neither
+// side knows the other; both know what is declared here.
+#pragma once
+#include <deque>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "exchange/counters.hpp"
+#include "logic.hpp"
+#include "loop/connection.hpp"
+
+namespace dunlinwick::exchange {
+
+constexpr std::size_t mostBytes = 240000, mostWritten = 48000;  // of an object; of what a client writes
+
+// A pull as its client worded it. Id, names, tag and body go on as they are.
+struct Ask {
+  std::string id, offering, object, part, tag, body;
+  int offeringAt = 0, partNumber = 0, group = 0;
+  Ms ttl = 0;
+  double sizeKb = 0;
+};
+
+// The client side's end of a pull: it is told one final answer at most.
+class Asker {
+ public:
+  virtual void finished(const std::string& tag, std::string body) = 0;
+  virtual void unchanged(const std::string& tag) = 0;
+  virtual void declined(Ms retryAfter) = 0;
+  virtual void abandoned() = 0;
+  // Of a streamed answer, in place of finished(): how long it is, its bytes, and that it is whole or broke.
+  virtual void begun(const std::string& tag, std::size_t length) = 0;
+  virtual void more(std::string_view bytes) = 0;
+  virtual void completed() = 0;
+  virtual void brokeOff() = 0;
+
+ protected:
+  ~Asker() = default;
+};
+
+struct LegKey {
+  std::uint32_t pull = 0;
+  int leg = 0;
+};
+
+// What a cache said to a leg, without the bytes.
+struct Word {
+  Ending ending = Ending::finished;
+  bool unchanged = false;  // the client's copy is the one
+  Remark remark = Remark::none;
+  Ms waited = 0;
+  std::string tag;
+  std::vector<float> report;
+};
+
+// The caches' side as the exchange sees it. What it has to say of a leg may come from within send().
+class CacheSide {
+ public:
+  // Returns the connection's number, 0 if it has none. `avoid`: connections on which an earlier answer to
+  // this pull may still come.
+  virtual std::uint64_t send(LegKey key, const Ask& ask, const SendLeg& how,
+                             const std::vector<std::uint64_t>& avoid) = 0;
+  virtual void giveUp(LegKey key, const Ask& ask, std::uint32_t cache) = 0;
+  virtual void probe(std::uint32_t cache) = 0;
+  virtual void list(const ListEntry& entry, const std::string& id, const loop::Address& at) = 0;
+
+ protected:
+  ~CacheSide() = default;
+};
+
+struct Listed {
+  ListEntry entry;
+  std::string id;
+  loop::Address at{};
+};
+
+// What a leg's connection's end means to the decisions: this is the one place that says so.
+Ending endingOf(loop::Parting how, bool writtenWhole);
+
+class Exchange {
+ public:
+  Exchange(loop::Loop& loop, const StoreSheet& sheet, std::uint64_t seed);
+  void meet(CacheSide& caches) { caches_ = &caches; }
+  Counters counters;
+  bool ready() const { return listed_; }
+  std::size_t openPulls() const { return pulls_.size(); }
+
+  // from the clients' side
+  std::uint32_t pullCame(Ask ask, Asker& asker);  // the answer may come from within
+  void clientLeft(std::uint32_t pull);
+
+  // from the caches' side
+  void answerBegun(LegKey key, const Word& word, std::size_t length);
+  void answerBytes(LegKey key, std::string_view bytes);
+  void answerWhole(LegKey key, const Word& word);
+  void legLost(LegKey key, loop::Parting how, bool writtenWhole);
+  void probeEnded(std::uint32_t cache, bool answered, Ms took, std::vector<float> report);
+
+  // from the notice board
+  void listCame(bool whole, const std::vector<Listed>& entries);
+  void purgeCame(bool wholeGroup, std::string_view object, int group, Ms at);
+
+ private:
+  struct Leg {
+    std::uint32_t cache = 0;
+    std::uint64_t via = 0;
+    Ms sentAt = 0;
+    bool out = true, answered = false;
+    std::string bytes;
+  };
+  struct Pull {
+    Ask ask;
+    Asker* asker = nullptr;  // null once it has its final answer, or the client has left
+    Ms expiresAt = 0;
+    int streaming = -1;  // the leg that the client is being sent
+    std::vector<Leg> legs;
+  };
+
+  static bool isOut(const Leg& leg) { return leg.out; }
+  void tell(Event event);
+  Asker* close(std::uint32_t pull);  // no answer is owed from here on
+  void act(const SendLeg& a);
+  void act(const CancelLeg& a);
+  void act(const DeclinePull& a);
+  void act(const AbandonPull& a);
+  void act(const WakeMe& a);
+  void act(const ProbeCache& a);
+  void act(const FollowList&) {}  // the notice board is always followed
+  void act(const WriteLine& a);
+  Pull* known(std::uint32_t pull);
+  Leg* legOut(LegKey key);
+  void endLeg(LegKey key, Ending ending, const Word& word = {});
+  void count(Ending ending);
+  std::uint32_t numberOf(const std::string& machine);
+
+  loop::Loop& loop_;
+  Router router_;
+  std::vector<Offering> offerings_;
+  CacheSide* caches_ = nullptr;
+  bool listed_ = false, telling_ = false;
+  std::uint32_t lastPull_ = 0;
+  std::deque<Event> untold_;             // emptied before the outermost call returns
+  std::vector<std::uint32_t> ended_;     // the same: pulls that may now be forgotten
+  std::map<std::uint32_t, Pull> pulls_;  // emptied when a pull has its answer and its last leg is in
+  std::map<std::string, std::uint32_t> numbers_;  // machines: as many as were ever listed
+};
+
+}  // namespace dunlinwick::exchange
--- /dev/null
+++ b/src/front/front.cpp
@@ -0,0 +1,147 @@
+#include "front/front.hpp"
+
+#include <fcntl.h>
+#include <poll.h>
+#include <sys/resource.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <csignal>
+
+#include "log/log.hpp"
+
+namespace dunlinwick::front {
+namespace {
+
+using loop::Ms;
+
+// Descriptors that are neither a client's nor a cache's: standard streams, listener, board, signals, and some
+// for what the system opens.
+constexpr std::size_t aside = 24;
+
+std::size_t descriptors(const Charter& c) {
+  rlimit limit{};
+  std::size_t most = c.descriptors;
+  if (::getrlimit(RLIMIT_NOFILE, &limit) == 0 && limit.rlim_cur != RLIM_INFINITY)
+    most = std::min(most, static_cast<std::size_t>(limit.rlim_cur));
+  return most;
+}
+
+// Clients hold at most a third of the descriptors; half leaves room for those that are about to close. Each
+// may hold one answer of the largest size, here and in the system's buffers, which the memory must bear.
+std::size_t mostClients(const Charter& c) {
+  constexpr double share = 0.6, eachMb = 0.25;
+  return std::min(descriptors(c) / 2, static_cast<std::size_t>(share * c.memoryMb / eachMb));
+}
+
+std::vector<bool> written(const StoreSheet& sheet) {
+  std::vector<bool> all;
+  for (const Offering& o : sheet.offerings) all.push_back(o.neverKept);
+  return all;
+}
+
+}  // namespace
+
+Front::Front(loop::Loop& loop, const Charter& c)
+    : loop_(loop),
+      exchange_(loop, c.sheet, c.seed),
+      caches_(loop, exchange_, c.terms, descriptors(c) - aside - mostClients(c)),
+      board_(loop, exchange_, c.terms, c.board),
+      clients_(loop, exchange_, c.terms.offerings, written(c.sheet), c.listen, mostClients(c)) {
+  exchange_.meet(caches_);
+  if (!board_.begin(c.known)) throw std::runtime_error("configuration lacks usable events under known");
+  board_.follow();
+}
+
+void Front::stop() {
+  // New connections come for up to 0.4 s after the word to stop, and requests on open ones for 0.2 s more.
+  constexpr Ms clientsStillCome = 700;
+  if (std::exchange(stopping_, true)) return;
+  log::say("stopping: %zu pulls open", exchange_.openPulls());
+  clients_.wind();
+  loop_.at(loop_.now() + clientsStillCome, [this] { leaveWhenDone(); });
+}
+
+void Front::leaveWhenDone() {
+  constexpr Ms look = 10;
+  clients_.leave();
+  if (clients_.empty()) return loop_.stop();
+  loop_.at(loop_.now() + look, [this] { leaveWhenDone(); });
+}
+
+std::string Front::counters() const {
+  const exchange::Counters& c = exchange_.counters;
+  std::string line = "counters:";
+  auto add = [&](const char* name, std::uint64_t count) {
+    line.append(" ").append(name).append("=").append(std::to_string(count));
+  };
+  add("pulls", c.pulls), add("finished", c.finished), add("unchanged", c.unchanged);
+  add("declined", c.declined), add("abandoned", c.abandoned), add("left", c.left);
+  add("broken_midway", c.brokenMidway), add("legs", c.legs), add("fills", c.fills);
+  add("legs_finished", c.legsFinished), add("misses", c.misses), add("full", c.full);
+  add("errors", c.errors), add("timed_out", c.timedOut), add("never_ran", c.neverRan);
+  add("broken", c.broken), add("cancelled", c.cancelled), add("moot", c.moot), add("late", c.lateAnswers);
+  add("probes", c.probes), add("probes_answered", c.probesAnswered);
+  add("client_connections", c.clientConnections), add("cache_connections", c.cacheConnections);
+  add("board_connections", c.boardConnections), add("list_news", c.listNews), add("purges", c.purges);
+  add("bad_requests", c.badRequests), add("bad_lines", c.badLines), add("bad_notices", c.badNotices);
+  add("short_of_descriptors", c.shortOfDescriptors);
+  return line;
+}
+
+// ---- signals, by a pipe that the loop watches
+
+namespace {
+
+int signalsTo = -1;
+void noteSignal(int which) {
+  int kept = errno;
+  char byte = static_cast<char>(which);
+  [[maybe_unused]] ssize_t put = ::write(signalsTo, &byte, 1);
+  errno = kept;
+}
+
+class Signals final : loop::Handler {
+ public:
+  Signals(loop::Loop& loop, Front& front) : loop_(loop), front_(front) {
+    int ends[2];
+    if (::pipe2(ends, O_NONBLOCK | O_CLOEXEC) != 0) throw std::runtime_error("no pipe for signals");
+    from_ = loop::Descriptor(ends[0]);
+    to_ = loop::Descriptor(ends[1]);
+    signalsTo = to_.get();
+    struct sigaction action {};
+    action.sa_handler = noteSignal;
+    for (int which : {SIGTERM, SIGINT, SIGUSR1}) ::sigaction(which, &action, nullptr);
+    ::signal(SIGPIPE, SIG_IGN);
+    loop_.watch(from_.get(), *this, POLLIN);
+  }
+  ~Signals() {
+    for (int which : {SIGTERM, SIGINT, SIGUSR1}) ::signal(which, SIG_IGN);
+    loop_.forget(from_.get());
+  }
+
+ private:
+  void ready(short) override {
+    char byte = 0;
+    while (::read(from_.get(), &byte, 1) == 1)
+      if (byte == SIGUSR1) std::fprintf(stderr, "%s\n", front_.counters().c_str());
+      else front_.stop();
+  }
+  loop::Loop& loop_;
+  Front& front_;
+  loop::Descriptor from_, to_;
+};
+
+}  // namespace
+
+int serve(const Charter& charter) {
+  loop::Loop loop;
+  Front front(loop, charter);
+  Signals signals(loop, front);
+  log::say("%s serves", charter.name.c_str());
+  loop.run();
+  std::fprintf(stderr, "%s\n", front.counters().c_str());
+  return 0;
+}
+
+}  // namespace dunlinwick::front
--- /dev/null
+++ b/src/json/json.hpp
@@ -0,0 +1,31 @@
+// A small strict reader of JSON (RFC 8259) with a depth limit. Numbers keep their text.
+#pragma once
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace dunlinwick::json {
+
+enum class Kind { null, boolean, number, string, list, object };
+
+struct Value {
+  Kind kind = Kind::null;
+  std::string text;  // of a string, unescaped; of a number or boolean as written
+  std::vector<Value> items;
+  std::vector<std::pair<std::string, Value>> members;  // as written; a name comes once
+
+  const Value* find(std::string_view name) const;
+  // The member's value if it is there and of that kind.
+  const Value* find(std::string_view name, Kind kind) const;
+  std::string_view word(std::string_view name) const;  // "" where absent or no string
+  std::optional<double> number(std::string_view name) const;
+  double asNumber() const;  // of a number
+};
+
+// Nothing where the text is not one JSON value whole.
+std::optional<Value> read(std::string_view text);
+
+}  // namespace dunlinwick::json
--- /dev/null
+++ b/src/loop/buffer.hpp
@@ -0,0 +1,42 @@
+// The one buffer of a connection: bytes that came in and are not yet taken. Grows as needed, is compacted in
+// place, and gives back what a large message took.
+#pragma once
+#include <cstring>
+#include <span>
+#include <string_view>
+#include <vector>
+
+namespace dunlinwick::loop {
+
+class Buffer {
+ public:
+  std::string_view bytes() const { return {store_.data() + from_, to_ - from_}; }
+  std::size_t size() const { return to_ - from_; }
+
+  // Room for at least `n` bytes more; what is written there counts after wrote().
+  std::span<char> room(std::size_t n) {
+    if (store_.size() - to_ < n && from_ > 0) {
+      std::memmove(store_.data(), store_.data() + from_, size());
+      to_ -= from_;
+      from_ = 0;
+    }
+    if (store_.size() - to_ < n) store_.resize(to_ + n);
+    return {store_.data() + to_, store_.size() - to_};
+  }
+  void wrote(std::size_t n) { to_ += n; }
+
+  void consume(std::size_t n) {
+    from_ += n;
+    if (from_ < to_) return;
+    from_ = to_ = 0;
+    constexpr std::size_t small = 1 << 16;  // a thousand of these are 64 MB: a third of the least memory
+    if (store_.size() > small) std::vector<char>().swap(store_);
+  }
+  void release() { *this = Buffer(); }
+
+ private:
+  std::vector<char> store_;
+  std::size_t from_ = 0, to_ = 0;
+};
+
+}  // namespace dunlinwick::loop
--- /dev/null
+++ b/src/loop/connection.cpp
@@ -0,0 +1,189 @@
+#include "loop/connection.hpp"
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <netinet/tcp.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <sys/uio.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <charconv>
+
+namespace dunlinwick::loop {
+
+const char* word(Parting how) {
+  static const char* const words[] = {"refused", "never up",  "no descriptor", "closed",
+                                      "reset",   "malformed", "replaced",      "let go"};
+  return words[static_cast<int>(how)];
+}
+
+std::optional<Address> readAddress(std::string_view text) {
+  std::size_t colon = text.rfind(':');
+  if (colon == text.npos) return std::nullopt;
+  std::string host(text.substr(0, colon));
+  std::string_view port = text.substr(colon + 1);
+  std::uint16_t number = 0;
+  auto [end, fault] = std::from_chars(port.data(), port.data() + port.size(), number);
+  Address a{};
+  a.sin_family = AF_INET;
+  a.sin_port = htons(number);
+  if (fault != std::errc{} || end != port.data() + port.size() || number == 0) return std::nullopt;
+  if (::inet_pton(AF_INET, host.c_str(), &a.sin_addr) != 1) return std::nullopt;
+  return a;
+}
+
+static void sendAtOnce(int fd) {
+  int on = 1;
+  ::setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+}
+
+Connection::Connection(Loop& loop, Owner& owner, Descriptor accepted)
+    : loop_(loop), owner_(owner), fd_(std::move(accepted)), up_(true) {
+  sendAtOnce(fd_.get());
+  rewatch();
+}
+
+Connection::Connection(Loop& loop, Owner& owner, const Address& to, Ms within) : loop_(loop), owner_(owner) {
+  fd_ = Descriptor(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+  if (!fd_) {
+    endAs(Parting::noDescriptor);
+    return;
+  }
+  sendAtOnce(fd_.get());
+  limit_ = loop_.at(loop_.now() + within, [this] { finish(Parting::neverUp); });
+  if (::connect(fd_.get(), reinterpret_cast<const sockaddr*>(&to), sizeof to) == 0) up_ = true;
+  else if (errno == ECONNREFUSED) endAs(Parting::refused);
+  else if (errno != EINPROGRESS) endAs(Parting::neverUp);
+  if (up_) loop_.cancel(limit_);
+  rewatch();
+}
+
+Connection::~Connection() { close(); }
+
+void Connection::close() {
+  loop_.cancel(limit_);
+  loop_.cancel(report_);
+  loop_.forget(fd_.get());
+  fd_.reset();
+  over_ = true;
+}
+
+void Connection::endAs(Parting how) {
+  if (isOver()) return;
+  loop_.forget(fd_.get());
+  report_ = loop_.at(loop_.now(), [this, how] { finish(how); });
+}
+
+void Connection::finish(Parting how) {
+  if (over_) return;
+  close();
+  owner_.ended(how);
+}
+
+void Connection::rewatch() {
+  if (isOver()) return;
+  // POLLRDHUP shows a peer that left while nothing is read from it.
+  short events = POLLRDHUP;
+  if (up_ && in.size() < most_) events |= POLLIN;
+  if (!up_ || !out_.empty()) events |= POLLOUT;
+  loop_.watch(fd_.get(), *this, events);
+}
+
+void Connection::readUpTo(std::size_t most) {
+  most_ = most;
+  rewatch();
+}
+
+std::uint64_t Connection::send(std::string message) {
+  out_.push_back({std::move(message), ++marks_});
+  if (up_ && !isOver() && out_.size() == 1) flush();
+  rewatch();
+  return marks_;
+}
+
+bool Connection::unsent(std::uint64_t mark) const {
+  // Marks only grow, so all from the first waiting one on are unsent.
+  return !out_.empty() && mark >= out_.front().mark;
+}
+
+bool Connection::takeBack(std::uint64_t mark) {
+  for (auto at = out_.begin(); at != out_.end(); ++at)
+    if (at->mark == mark && (at != out_.begin() || outDone_ == 0)) {
+      out_.erase(at);
+      return true;
+    }
+  return false;
+}
+
+void Connection::sayNoMore() {
+  if (!over_ && !shut_) ::shutdown(fd_.get(), SHUT_WR);
+  shut_ = true;
+}
+
+void Connection::flush() {
+  while (!isOver() && !out_.empty()) {
+    iovec parts[16];
+    int count = 0;
+    for (Message& m : out_) {
+      std::size_t skip = count == 0 ? outDone_ : 0;
+      parts[count++] = {m.bytes.data() + skip, m.bytes.size() - skip};
+      if (count == 16) break;
+    }
+    msghdr head{};
+    head.msg_iov = parts;
+    head.msg_iovlen = static_cast<std::size_t>(count);
+    ssize_t put = ::sendmsg(fd_.get(), &head, MSG_NOSIGNAL);
+    if (put < 0 && errno == EINTR) continue;
+    if (put < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == ENOBUFS)) return;
+    if (put < 0) return endAs(Parting::reset);
+    outDone_ += static_cast<std::size_t>(put);
+    while (!out_.empty() && outDone_ >= out_.front().bytes.size()) {
+      outDone_ -= out_.front().bytes.size();
+      out_.pop_front();
+    }
+  }
+}
+
+void Connection::fetch() {
+  // One read a turn, so that a fast sender does not hold up the others.
+  constexpr std::size_t chunk = 1 << 14;
+  std::span<char> room = in.room(chunk);
+  ssize_t got = ::recv(fd_.get(), room.data(), room.size(), 0);
+  if (got > 0) {
+    in.wrote(static_cast<std::size_t>(got));
+    owner_.came();
+    rewatch();
+  } else if (got == 0) {
+    finish(Parting::closed);
+  } else if (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR) {
+    finish(Parting::reset);
+  }
+}
+
+void Connection::ready(short events) {
+  if (!up_) {
+    int fault = 0;
+    socklen_t size = sizeof fault;
+    ::getsockopt(fd_.get(), SOL_SOCKET, SO_ERROR, &fault, &size);
+    if (fault == ECONNREFUSED) return finish(Parting::refused);
+    if (fault != 0 || (events & (POLLERR | POLLHUP))) return finish(Parting::neverUp);
+    if (!(events & POLLOUT)) return;
+    up_ = true;
+    loop_.cancel(limit_);
+    flush();
+    if (!isOver() && out_.empty()) owner_.drained();
+    return rewatch();
+  }
+  // Answers that came before a break are read first.
+  if ((events & POLLIN) && in.size() < most_) fetch();
+  else if (events & (POLLERR | POLLHUP)) return finish(Parting::reset);
+  else if (events & POLLRDHUP) return finish(Parting::closed);
+  if (isOver() || !(events & POLLOUT) || out_.empty()) return;
+  flush();
+  if (!isOver() && out_.empty()) owner_.drained();
+  rewatch();
+}
+
+}  // namespace dunlinwick::loop
--- /dev/null
+++ b/src/loop/connection.hpp
@@ -0,0 +1,82 @@
+// A TCP connection: one buffer for what comes in, and the messages that are still to go out.
+#pragma once
+#include <netinet/in.h>
+
+#include <deque>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "loop/buffer.hpp"
+#include "loop/descriptor.hpp"
+#include "loop/loop.hpp"
+
+namespace dunlinwick::loop {
+
+// Every way in which a connection can end.
+enum class Parting {
+  refused,       // the other side said no
+  neverUp,       // not up within the limit
+  noDescriptor,  // none left here
+  closed,        // the other side closed it
+  reset,         // it broke
+  malformed,     // what came can't be read
+  replaced,      // another process is listed in the other side's place
+  letGo          // closed from here, with nothing open on it
+};
+const char* word(Parting how);
+
+using Address = sockaddr_in;
+std::optional<Address> readAddress(std::string_view text);  // 127.0.0.1:5050
+
+class Connection final : Handler {
+ public:
+  class Owner {
+   public:
+    virtual void came() = 0;                // there are bytes in the buffer
+    virtual void drained() {}               // all messages are out
+    virtual void ended(Parting how) = 0;    // once; never called out of a call of the owner's
+
+   protected:
+    ~Owner() = default;
+  };
+
+  Connection(Loop& loop, Owner& owner, Descriptor accepted);
+  Connection(Loop& loop, Owner& owner, const Address& to, Ms within);  // opens one
+  ~Connection();
+
+  Buffer in;
+  std::uint64_t send(std::string message);   // returns its mark
+  bool unsent(std::uint64_t mark) const;     // not written whole
+  bool takeBack(std::uint64_t mark);         // drops a message of which nothing was written
+  bool drainedOut() const { return out_.empty(); }
+  bool isUp() const { return up_; }
+  bool isOver() const { return over_ || report_ != 0; }  // or about to be reported so
+  void readUpTo(std::size_t most);           // reads no more while the buffer holds that much
+  void endAs(Parting how);                   // reports it to the owner in the next turn
+  void sayNoMore();                          // shuts the way out; reading goes on
+  void close();                              // without a report
+
+ private:
+  struct Message {
+    std::string bytes;
+    std::uint64_t mark;
+  };
+  void ready(short events) override;
+  void finish(Parting how);
+  void fetch();
+  void flush();
+  void rewatch();
+
+  Loop& loop_;
+  Owner& owner_;
+  Descriptor fd_;
+  bool up_ = false, over_ = false, shut_ = false;
+  std::size_t most_ = 1 << 16;
+  std::deque<Message> out_;  // emptied as the other side takes it
+  std::size_t outDone_ = 0;  // bytes of the first message that are written
+  std::uint64_t marks_ = 0;
+  std::uint64_t limit_ = 0, report_ = 0;  // timers
+};
+
+}  // namespace dunlinwick::loop
--- /dev/null
+++ b/src/loop/loop.cpp
@@ -0,0 +1,76 @@
+#include "loop/loop.hpp"
+
+#include <poll.h>
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+
+namespace dunlinwick::loop {
+namespace {
+template <class Clock>
+Ms ms() {
+  return std::chrono::duration<double, std::milli>(Clock::now().time_since_epoch()).count();
+}
+}  // namespace
+
+Loop::Loop() : offset_(ms<std::chrono::system_clock>() - ms<std::chrono::steady_clock>()) {}
+
+Ms Loop::now() const { return ms<std::chrono::steady_clock>() + offset_; }
+
+void Loop::watch(int fd, Handler& handler, short events) {
+  std::size_t at = static_cast<std::size_t>(fd);
+  if (byFd_.size() <= at) byFd_.resize(at + 1);
+  if (byFd_[at].handler != &handler) byFd_[at] = {&handler, events, ++last_};
+  byFd_[at].events = events;
+}
+
+void Loop::forget(int fd) {
+  if (fd >= 0 && static_cast<std::size_t>(fd) < byFd_.size()) byFd_[static_cast<std::size_t>(fd)] = {};
+}
+
+std::uint64_t Loop::at(Ms when, std::function<void()> what) {
+  std::uint64_t timer = ++last_;
+  timers_[{when, timer}] = std::move(what);
+  timerAt_[timer] = when;
+  return timer;
+}
+
+void Loop::runTimers() {
+  // Only those due by now: one that is set anew for at once waits for the next turn, after the sockets.
+  Ms due = now();
+  std::uint64_t newest = last_;
+  for (auto at = timers_.begin(); at != timers_.end() && at->first.first <= due;) {
+    if (at->first.second > newest) {
+      ++at;
+      continue;
+    }
+    auto key = at->first;
+    auto what = std::move(at->second);
+    timers_.erase(at);
+    timerAt_.erase(key.second);
+    what();
+    at = timers_.begin();
+  }
+}
+
+void Loop::turn(Ms longest) {
+  std::vector<pollfd> polled;
+  std::vector<std::uint64_t> since;
+  for (std::size_t fd = 0; fd < byFd_.size(); ++fd)
+    if (byFd_[fd].handler) {
+      polled.push_back({static_cast<int>(fd), byFd_[fd].events, 0});
+      since.push_back(byFd_[fd].since);
+    }
+  if (!timers_.empty()) longest = std::min(longest, timers_.begin()->first.first - now());
+  int count = ::poll(polled.data(), polled.size(), static_cast<int>(std::ceil(std::max(0.0, longest))));
+  if (count > 0)
+    for (std::size_t i = 0; i < polled.size(); ++i) {
+      const Watch& w = byFd_[static_cast<std::size_t>(polled[i].fd)];
+      if (polled[i].revents != 0 && w.handler && w.since == since[i]) w.handler->ready(polled[i].revents);
+    }
+  runTimers();
+  buried_.clear();
+}
+
+}  // namespace dunlinwick::loop
--- /dev/null
+++ b/src/loop/loop.hpp
@@ -0,0 +1,64 @@
+// One loop on poll(2): descriptors, timers and the front's one clock.
+#pragma once
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <vector>
+
+namespace dunlinwick::loop {
+
+using Ms = double;
+
+class Handler {
+ public:
+  virtual void ready(short events) = 0;
+
+ protected:
+  ~Handler() = default;
+};
+
+class Loop {
+ public:
+  Loop();
+  // Unix time in milliseconds as at the start, moved on by the steady clock: it never goes back.
+  Ms now() const;
+
+  void watch(int fd, Handler& handler, short events);  // again: changes the events
+  void forget(int fd);
+
+  std::uint64_t at(Ms when, std::function<void()> what);
+  void cancel(std::uint64_t timer) {
+    if (auto found = timerAt_.find(timer); found != timerAt_.end()) {
+      timers_.erase({found->second, timer});
+      timerAt_.erase(found);
+    }
+  }
+
+  // Keeps what may still be on the call stack until the turn is over.
+  void bury(std::shared_ptr<void> what) { buried_.push_back(std::move(what)); }
+
+  void turn(Ms longest);  // waits for events or timers, at most that long, and handles them
+  void run() {
+    while (!stopped_) turn(1000);
+  }
+  void stop() { stopped_ = true; }
+
+ private:
+  struct Watch {
+    Handler* handler = nullptr;
+    short events = 0;
+    std::uint64_t since = 0;  // tells a descriptor from an earlier one of the same number
+  };
+  void runTimers();
+
+  Ms offset_ = 0;
+  bool stopped_ = false;
+  std::uint64_t last_ = 0;
+  std::vector<Watch> byFd_;
+  std::map<std::pair<Ms, std::uint64_t>, std::function<void()>> timers_;  // emptied as they fall due
+  std::map<std::uint64_t, Ms> timerAt_;                                   // the same
+  std::vector<std::shared_ptr<void>> buried_;                             // emptied every turn
+};
+
+}  // namespace dunlinwick::loop
--- a/src/benchlink/facts.cpp
+++ b/src/sheet/sheet.cpp
@@ -1,12 +1,11 @@
-#include "benchlink/facts.hpp"
+#include "sheet/sheet.hpp"
 
+#include <algorithm>
 #include <charconv>
 #include <cmath>
 #include <map>
 
-#include "benchlink/codec.hpp"
-
-namespace dunlinwick::benchlink {
+namespace dunlinwick::sheet {
 namespace {
 
 std::vector<std::string_view> split(std::string_view text, char at) {
@@ -30,7 +29,7 @@
   }
   std::string_view need(const std::string& key) const {
     auto at = byKey_.find(key);
-    if (at == byKey_.end()) throw WireFault("setting missing: " + key);
+    if (at == byKey_.end()) throw SheetFault("setting missing: " + key);
     return at->second;
   }
   bool has(const std::string& key) const { return byKey_.count(key) != 0; }
@@ -52,16 +51,22 @@
       for (std::string_view v : split(need(key), ',')) all.push_back(toFlag(key, v));
     return all;
   }
+  std::vector<std::string> words(const std::string& key) const {
+    std::vector<std::string> all;
+    if (has(key))
+      for (std::string_view v : split(need(key), ',')) all.emplace_back(v);
+    return all;
+  }
   template <class T>
   T choice(const std::string& key, T absent,
            std::initializer_list<std::pair<std::string_view, T>> known) const {
     if (!has(key)) return absent;
     for (auto& [word, value] : known)
       if (word == need(key)) return value;
-    throw WireFault("setting unreadable: " + key);
+    throw SheetFault("setting unreadable: " + key);
   }
   static int toWhole(const std::string& key, double v, double low, double high) {
-    if (!(v >= low && v <= high)) throw WireFault("setting unreadable: " + key);
+    if (!(v >= low && v <= high)) throw SheetFault("setting unreadable: " + key);
     return static_cast<int>(v);
   }
 
@@ -70,20 +75,20 @@
     double v = 0;
     auto [end, fault] = std::from_chars(text.data(), text.data() + text.size(), v);
     if (fault != std::errc{} || end != text.data() + text.size() || !std::isfinite(v))
-      throw WireFault("setting unreadable: " + key);
+      throw SheetFault("setting unreadable: " + key);
     return v;
   }
   static bool toFlag(const std::string& key, std::string_view text) {
     if (text == "true") return true;
     if (text == "false") return false;
-    throw WireFault("setting unreadable: " + key);
+    throw SheetFault("setting unreadable: " + key);
   }
   std::map<std::string, std::string_view, std::less<>> byKey_;
 };
 
 }  // namespace
 
-StoreSheet readFacts(std::string_view text) {
+StoreSheet readSheet(std::string_view text) {
   Facts f(text);
   StoreSheet s;
   std::vector<double> fresh = f.numbers("familyInfo.lifetimeByClass");
@@ -143,4 +148,51 @@
   return s;
 }
 
-}  // namespace dunlinwick::benchlink
+RoadTerms readRoadTerms(std::string_view text) {
+  Facts f(text);
+  RoadTerms t;
+  int count = f.whole("classes.count", 1, 255);
+  for (int i = 0; i < count; ++i)
+    t.offerings.emplace_back(f.need("classes." + std::to_string(i) + ".name"));
+  t.zones = f.words("azs");
+  t.kinds = f.words("flavors");
+  t.reported = f.words("report.names");
+  t.connectWithin = f.number("limits.connectTimeout");
+  t.idleFor = f.number("limits.connIdle");
+  t.legsAtOnce = f.whole("limits.streamsPerConn", 1, 1e6);
+  return t;
+}
+
+std::string plainWord(std::string_view text) {
+  std::string word(text);
+  for (char& c : word)
+    if (c == ' ' || c == ',' || static_cast<unsigned char>(c) < ' ') c = '_';
+  return word;
+}
+
+static void lay(const json::Value& v, const std::string& path, std::string& out) {
+  auto line = [&](const std::string& key, const std::string& value) { out += key + '=' + value + '\n'; };
+  auto simple = [](const json::Value& one) { return one.items.empty() && one.members.empty(); };
+  if (v.kind == json::Kind::object) {
+    for (auto& [name, member] : v.members)
+      lay(member, path.empty() ? plainWord(name) : path + '.' + plainWord(name), out);
+  } else if (v.kind == json::Kind::list) {
+    if (std::all_of(v.items.begin(), v.items.end(), simple)) {
+      std::string all;
+      for (const json::Value& one : v.items) (all += ',') += plainWord(one.text);
+      return line(path, all.empty() ? all : all.substr(1));
+    }
+    line(path + ".count", std::to_string(v.items.size()));
+    for (std::size_t i = 0; i < v.items.size(); ++i) lay(v.items[i], path + '.' + std::to_string(i), out);
+  } else {
+    line(path, plainWord(v.text));
+  }
+}
+
+std::string dotted(const json::Value& settings) {
+  std::string out;
+  lay(settings, "", out);
+  return out;
+}
+
+}  // namespace dunlinwick::sheet
--- /dev/null
+++ b/src/sheet/sheet.hpp
@@ -0,0 +1,31 @@
+// Reads the settings into the sheet that the module is handed at start, and the terms of the road to it. The
+// text has one path=value a line, as the simulator's wire hands it out; a front's JSON is laid out likewise.
+#pragma once
+#include <stdexcept>
+#include <string>
+#include <string_view>
+
+#include "json/json.hpp"
+#include "logic.hpp"
+
+namespace dunlinwick::sheet {
+
+struct SheetFault : std::runtime_error {
+  using std::runtime_error::runtime_error;
+};
+
+// What the network code goes by: names as they stand on the wire, and the limits of connections.
+struct RoadTerms {
+  std::vector<std::string> offerings, zones, kinds, reported;
+  Ms connectWithin = 0, idleFor = 0;
+  int legsAtOnce = 1;  // on one connection
+};
+
+// Unknown keys are skipped; a needed one that is missing or unreadable throws SheetFault, naming it.
+StoreSheet readSheet(std::string_view text);
+RoadTerms readRoadTerms(std::string_view text);
+
+std::string dotted(const json::Value& settings);
+std::string plainWord(std::string_view text);  // as a value stands in the text
+
+}  // namespace dunlinwick::sheet
--- a/tests/link_test.cpp
+++ b/tests/link_test.cpp
@@ -1,6 +1,6 @@
-#include "benchlink/facts.hpp"
 #include "benchlink/host.hpp"
 #include "kit.hpp"
+#include "sheet/sheet.hpp"
 
 using namespace kit;
 using namespace dunlinwick::benchlink;
@@ -97,13 +97,13 @@
     text.replace(text.find(c.from), std::string(c.from).size(), c.to);
     std::string said;
     try {
-      readFacts(text);
-    } catch (const WireFault& fault) {
+      sheet::readSheet(text);
+    } catch (const sheet::SheetFault& fault) {
       said = fault.what();
     }
     assert(said.find(c.named) != said.npos);
   }
-  StoreSheet s = readFacts(facts);
+  StoreSheet s = sheet::readSheet(facts);
   assert(s.zone == 1 && s.longestRetryAfter == 500 && s.offerings[0].effect == Effect::rerunnable);
 }
 
