--- a/src/front/charter.cpp
+++ b/src/front/charter.cpp
@@ -1,5 +1,6 @@
 #include "front/charter.hpp"
 
+#include <algorithm>
 #include <charconv>
 #include <fstream>
 #include <sstream>
@@ -45,6 +46,9 @@
   std::string settings = sheet::dotted(need(*all, "settings", Kind::object));
   c.sheet = sheet::readSheet(settings);
   c.terms = sheet::readRoadTerms(settings);
+  // The protocol: clients hold at most a third of the descriptor limit, and one request on each.
+  int third = static_cast<int>(c.descriptors / 3);
+  c.sheet.places = c.sheet.places > 0 ? std::min(c.sheet.places, third) : third;
   return c;
 }
 
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -53,7 +53,7 @@
 struct Router::Mind {
   // ---- figures derived at start
   std::vector<Ware> wares;
-  int zone, crew, fronts, parentKind, originKind, mostLegs;
+  int zone, crew, fronts, places, parentKind, originKind, mostLegs;
   Permits may;
   bool asksForList, lateral, weighed, linkTold;
   Ms retryLimit, purgeKept, coldWindow;
@@ -86,25 +86,16 @@
       w.omega = 5 * second;           // the design starts it at a few seconds
       wares.push_back(w);
     }
-    zone = s.zone;
-    fronts = std::max(1, s.fronts);
-    crew = std::max(1, s.crew);
-    parentKind = s.parentKind;
-    originKind = s.originKind;
-    mostLegs = s.mostLegs;
-    may = s.may;
-    asksForList = s.asksForList;
-    lateral = s.lateral;
+    zone = s.zone, crew = std::max(1, s.crew), fronts = std::max(1, s.fronts), places = s.places;
+    parentKind = s.parentKind, originKind = s.originKind, mostLegs = s.mostLegs, may = s.may;
+    asksForList = s.asksForList, lateral = s.lateral, retryLimit = s.longestRetryAfter;
+    coldWindow = s.coldWindow, coldStore = s.coldStore, coldParent = s.coldParent;
     // Live weights change from list to list, and a home must not: they count as absent.
     weighed = s.weighing == Weighing::nominal || s.weighing == Weighing::rough;
-    retryLimit = s.longestRetryAfter;
     purgeKept = 2 * s.purgeDone;  // twice: a fill may lay down an old copy late, and the cap costs nothing
-    coldWindow = s.coldWindow;
     streamKbPerMs = s.streamKbPerMs;
     linkTold = s.linkKbPerMs > 0 && streamKbPerMs > 0;
     if (linkTold) link.fits = s.linkKbPerMs / streamKbPerMs;
-    coldStore = s.coldStore;
-    coldParent = s.coldParent;
   }
 
   void say(const char* what, const Machine& m) {
@@ -393,10 +384,20 @@
   // How crowded a machine or link may be for this pull: stretched by about the level, it must be in time.
   // A poor payoff for the work takes some off: in overload those go first that earn least for it.
   double bearable(const Pull& p) const {
-    double ratio = (p.ware->payoff / std::max(p.sending, 1.0)) / (meanPayoff / std::max(meanWork, 1.0));
     constexpr double margin = 0.8;  // the level is an estimate, and rises while the pull is under way
     double stretch = margin * (p.agreedAt - now) / std::max(p.sending, 1.0);
-    return std::clamp(stretch * std::clamp(std::pow(ratio, 0.2), 0.7, 1.3), 1.2, 5.0);
+    return std::clamp(stretch * std::clamp(std::pow(worthiness(p), 0.2), 0.7, 1.3), 1.2, 5.0);
+  }
+  double worthiness(const Pull& p) const {  // payoff for the work, beside that of the usual pull
+    return (p.ware->payoff / std::max(p.sending, 1.0)) / (meanPayoff / std::max(meanWork, 1.0));
+  }
+
+  // Clients have so many places here, each taken until its answer; when all are, the next pull is turned away
+  // whatever it is worth. Near that, those are declined that earn least for the time they would hold one.
+  // Guards against any surge or slowness that fills the places. Harm: a swing costs a few large objects.
+  bool crowdsOut(const Pull& p) const {
+    constexpr double from = 0.85;  // chance alone moves a few hundred pulls by less than the rest
+    return places > 0 && worthiness(p) < (static_cast<double>(pulls.size()) / places - from) / (1 - from);
   }
 
   static Ms knownSending(const Pull& p) { return p.ware->sendingSeen ? p.sending : p.whole->sending; }
@@ -486,8 +487,7 @@
     p.ware = &wares[static_cast<std::size_t>(e.offering)];
     Ware& w = *p.ware;
     p.expiresAt = now + e.ttl;
-    p.memory = recall(e.object, e.part);
-    Memory& m = *p.memory;
+    Memory& m = *(p.memory = recall(e.object, e.part));
     p.whole = recall(e.object, -1);
     ++m.pins, ++p.whole->pins;
     p.gap = m.lastPull > longAgo ? now - m.lastPull : 0;
@@ -506,7 +506,7 @@
     meanPayoff += 0.01 * (w.payoff - meanPayoff);  // about the last hundred pulls
     meanWork += 0.01 * (p.sending - meanWork);
     act(WakeMe{std::max(now, p.expiresAt - beforeExpiry), wakePull << 56 | p.pull});
-    tend(p);
+    crowdsOut(p) ? giveUp(p, p.ware->meanSending) : tend(p);
     forget(p);
   }
 
--- a/src/logic.hpp
+++ b/src/logic.hpp
@@ -51,6 +51,7 @@
   Permits may;
   Ms longestRetryAfter = 0;  // 0: no retry time may be named
   int mostLegs = 1;
+  int places = 0;  // pulls that clients can have open here at once; 0: not told
   bool lateral = false;  // a cache may be filled from another of its zone
   double streamKbPerMs = 0;
   double linkKbPerMs = 0;  // of this zone; 0: not told
--- a/src/sheet/sheet.cpp
+++ b/src/sheet/sheet.cpp
@@ -134,6 +134,7 @@
   s.may.direct = f.flag("familyInfo.direct", false);
   s.longestRetryAfter = f.flag("limits.retryAfter", false) ? f.number("limits.maxRetryAfter", 0) : 0;
   s.mostLegs = f.whole("limits.maxAttempts", 1, 255);
+  s.places = f.has("limits.maxOpen") ? f.whole("limits.maxOpen", 0, 1e9) : 0;
   s.lateral =
       f.choice<bool>("familyInfo.lateral", false, {{"none", false}, {"location", true}, {"any", true}});
   s.streamKbPerMs = f.number("familyInfo.streamKbPerS", 0) / 1000;
