--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -73,7 +73,7 @@
   std::list<Memory> memories;           // oldest first
   std::unordered_map<std::uint64_t, std::list<Memory>::iterator> memoryAt;
   std::unordered_map<std::uint64_t, Ms> purges;  // object or group: when; emptied after purgeKept
-  double meanPayoff = 1, meanWork = 100;
+  double meanPayoff = 1, meanWork = 100, placePrice = 0;
   Ms originWait = 0, originCalm = 0;  // until its first byte comes, lately and as usual
   int linesLeft = 150;
 
@@ -393,11 +393,13 @@
   }
 
   // Clients have so many places here, each taken until its answer; when all are, the next pull is turned away
-  // whatever it is worth. Near that, those are declined that earn least for the time they would hold one.
-  // Guards against any surge or slowness that fills the places. Harm: a swing costs a few large objects.
-  bool crowdsOut(const Pull& p) const {
-    constexpr double from = 0.85;  // chance alone moves a few hundred pulls by less than the rest
-    return places > 0 && worthiness(p) < (static_cast<double>(pulls.size()) / places - from) / (1 - from);
+  // whatever it is worth. A price on places rises while more than nine in ten are taken, and what earns less
+  // is declined. Guards against any surge or slowness that fills them. Harm: a short swing costs large objects.
+  bool crowdsOut(const Pull& p) {
+    constexpr double aim = 0.9, step = 0.002;  // chance moves some hundred pulls by a tenth; a second to settle
+    if (places <= 0) return false;
+    placePrice = std::clamp(placePrice + step * (static_cast<double>(pulls.size()) / places - aim), 0.0, 2.0);
+    return worthiness(p) < placePrice;
   }
 
   static Ms knownSending(const Pull& p) { return p.ware->sendingSeen ? p.sending : p.whole->sending; }
