--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -393,13 +393,13 @@
   }
 
   // Clients have so many places here, each taken until its answer; when all are, the next pull is turned away
-  // whatever it is worth. A price on places rises while more than nine in ten are taken, and what earns less
-  // is declined. Guards against any surge or slowness that fills them. Harm: a short swing costs large objects.
+  // whatever it is worth. A price on places settles where nine in ten are taken, and swings with them; what
+  // earns less is declined. Guards against surges or slowness that fill them. Harm: costs some large objects.
   bool crowdsOut(const Pull& p) {
-    constexpr double aim = 0.9, step = 0.002;  // chance moves some hundred pulls by a tenth; a second to settle
-    if (places <= 0) return false;
-    placePrice = std::clamp(placePrice + step * (static_cast<double>(pulls.size()) / places - aim), 0.0, 2.0);
-    return worthiness(p) < placePrice;
+    constexpr double aim = 0.9, step = 0.002, swing = 4;  // settles in a second; some hundred swing by a tenth
+    double over = places > 0 ? static_cast<double>(pulls.size()) / places - aim : -1;
+    placePrice = std::clamp(placePrice + step * over, 0.0, 2.0);
+    return worthiness(p) < placePrice + swing * over;
   }
 
   static Ms knownSending(const Pull& p) { return p.ware->sendingSeen ? p.sending : p.whole->sending; }
