--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -114,9 +114,7 @@
     if (news.listing != Listing::changes)
       for (auto& [id, m] : machines) m.standing = Standing::gone;  // one that a full list lacks has left
     for (const ListEntry& e : news.entries) takeEntry(e);
-    stores.clear();
-    parents.clear();
-    origin = nullptr;
+    stores.clear(), parents.clear(), origin = nullptr;
     if (!linkTold) link.nominal = 0;
     for (auto& [id, m] : machines) {
       if (m.standing == Standing::gone) continue;
@@ -396,7 +394,7 @@
   // whatever it is worth. A price on places settles where nine in ten are taken, and swings with them; what
   // earns less is declined. Guards against surges or slowness that fill them. Harm: costs some large objects.
   bool crowdsOut(const Pull& p) {
-    constexpr double aim = 0.9, step = 0.002, swing = 8;  // settles in a second; some hundred swing by a tenth
+    constexpr double aim = 0.9, step = 0.002, swing = 4;  // settles in a second; some hundred swing by a tenth
     double over = places > 0 ? static_cast<double>(pulls.size()) / places - aim : -1;
     placePrice = std::clamp(placePrice + step * over, 0.0, 2.0);
     return worthiness(p) < placePrice + swing * over;
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -491,6 +491,27 @@
   assert(f.all<WakeMe>().size() == 1);
 }
 
+// Clients have ever so many places here: when nearly all are taken, what earns least for its time is declined
+// at once, and the rest still goes; where places are not told or free, nothing is.
+static void fullPlacesDeclineWhatEarnsLeast() {
+  struct Case {
+    int places, open;
+    double sizeKb;
+    bool declined;
+  };
+  for (Case c : {Case{0, 100, 4000, false}, {200, 100, 4000, false}, {100, 99, 4000, true}, {100, 99, 500, false}}) {
+    StoreSheet s = sheet();
+    s.places = c.places, s.linkKbPerMs = 1e6;
+    ListNews many{Listing::whole, {}};
+    for (std::uint32_t id = 11; id < 60; ++id) many.entries.push_back(entry(id, storeKind, 1));
+    for (std::uint32_t id = 61; id < 80; ++id) many.entries.push_back(entry(id, parentKind, 0));
+    Front f(s, 1, many);
+    for (int i = 0; i < c.open; ++i) f.pull(1000 + static_cast<std::uint64_t>(i));
+    SendLeg leg = f.pull(7, 0, c.sizeKb);
+    assert(f.declined() == c.declined && (leg.cache == 0) == c.declined);
+  }
+}
+
 int main() {
   struct Case {
     const char* name;
@@ -519,6 +540,7 @@
                  {"own legs are not taken for dozens", ownLegsAreNotTakenForDozens},
                  {"crowded parents keep a share", crowdedParentsKeepAShare},
                  {"shares below a leg add up", sharesBelowALegAddUp},
+                 {"full places decline what earns least", fullPlacesDeclineWhatEarnsLeast},
                  {"odd lists are borne", oddListsAreBorne},
                  {"works without the extras", worksWithoutTheExtras}}) {
     std::puts(c.name);
