--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -3,8 +3,6 @@
 #include <fcntl.h>
 #include <poll.h>
 #include <sys/resource.h>
-#include <sys/syscall.h>
-#include <unistd.h>
 
 #include <algorithm>
 #include <cerrno>
@@ -91,19 +89,6 @@
   return line;
 }
 
-// A front works for some hundredths of a millisecond at a time, and while it waits for its core all its pulls
-// wait. A short slice lets it in sooner and takes no more of the core. Kernels before 6.12 know no such wish.
-static void askForShortTurns() {
-  struct {  // sched_attr in its first version; the C library has no wrapper
-    std::uint32_t size = 48, policy = 0;
-    std::uint64_t flags = 0;
-    std::int32_t nice = 0;
-    std::uint32_t priority = 0;
-    std::uint64_t runtimeNs = 100'000, deadlineNs = 0, periodNs = 0;  // the least that is granted
-  } wish;
-  ::syscall(SYS_sched_setattr, 0, &wish, 0u);
-}
-
 // ---- signals, by a pipe that the loop watches
 
 namespace {
@@ -153,7 +138,6 @@
   loop::Loop loop;
   Front front(loop, charter);
   Signals signals(loop, front);
-  askForShortTurns();
   log::say("%s serves", charter.name.c_str());
   loop.run();
   std::fprintf(stderr, "%s\n", front.counters().c_str());
