--- a/tests/kit.hpp
+++ b/tests/kit.hpp
@@ -1,10 +1,16 @@
-// Helpers of the tests: a small store, and a front that is told things and asked what it did.
+// Helpers of the tests: a small store, a front that is told things and asked what it did, and the far side of
+// connections.
 #pragma once
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <sys/socket.h>
+
 #include <cassert>
 #include <cstdio>
 #include <set>
 
 #include "logic.hpp"
+#include "loop/connection.hpp"
 
 namespace kit {
 using namespace dunlinwick;
@@ -82,4 +88,67 @@
   }
   void finish(const SendLeg& a, Remark remark = Remark::hit) { end(a, Ending::finished, remark); }
 };
+
+// ---- sockets
+
+// Turns the loop until something holds; that it does within some seconds is asserted, when is not.
+template <class Condition>
+void until(loop::Loop& loop, Condition holds) {
+  for (int i = 0; i < 8000 && !holds(); ++i) loop.turn(1);
+  assert(holds());
+}
+
+// The far end of a connection. Nothing blocks.
+struct Far {
+  loop::Descriptor fd;
+  std::string got;
+  bool over = false;  // the near side ended it
+
+  explicit Far(loop::Descriptor d = {}) : fd(std::move(d)) {}
+  static Far to(const loop::Address& at) {
+    Far f(loop::Descriptor(::socket(AF_INET, SOCK_STREAM, 0)));
+    assert(::connect(f.fd.get(), reinterpret_cast<const sockaddr*>(&at), sizeof at) == 0);
+    ::fcntl(f.fd.get(), F_SETFL, O_NONBLOCK);
+    return f;
+  }
+  void say(std::string_view text) {
+    assert(::send(fd.get(), text.data(), text.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(text.size()));
+  }
+  const std::string& read(std::size_t most = 1 << 16) {
+    std::string chunk(most, 0);
+    ssize_t n = ::recv(fd.get(), chunk.data(), chunk.size(), 0);
+    if (n > 0) got.append(chunk, 0, static_cast<std::size_t>(n));
+    over |= n == 0 || (n < 0 && errno != EAGAIN);
+    return got;
+  }
+  bool hears(std::string_view text) { return read().find(text) != std::string::npos; }
+  void reset() {  // ends with a reset, not a close
+    linger now{1, 0};
+    ::setsockopt(fd.get(), SOL_SOCKET, SO_LINGER, &now, sizeof now);
+    fd.reset();
+  }
+};
+
+struct FarListener {
+  loop::Descriptor fd{::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0)};
+  loop::Address at{};
+
+  explicit FarListener(int backlog = 16) {
+    at.sin_family = AF_INET;
+    at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof at;
+    assert(::bind(fd.get(), reinterpret_cast<sockaddr*>(&at), size) == 0);
+    assert(::listen(fd.get(), backlog) == 0);
+    assert(::getsockname(fd.get(), reinterpret_cast<sockaddr*>(&at), &size) == 0);
+  }
+  Far next(loop::Loop& loop) {
+    int got = -1;
+    until(loop, [&] { return (got = ::accept4(fd.get(), nullptr, nullptr, SOCK_NONBLOCK)) >= 0; });
+    return Far(loop::Descriptor(got));
+  }
+  std::string text() const { return "127.0.0.1:" + std::to_string(ntohs(at.sin_port)); }
+};
+
+// An address of loopback at which nobody listens just now.
+inline loop::Address freeAddress() { return FarListener().at; }
 }  // namespace kit
--- /dev/null
+++ b/tests/wire_test.cpp
@@ -0,0 +1,218 @@
+// What the readers make of bytes from outside, good and bad.
+#include <random>
+
+#include "board/notices.hpp"
+#include "caches/lines.hpp"
+#include "clients/http.hpp"
+#include "kit.hpp"
+
+using namespace kit;
+
+static void jsonIsReadStrictly() {
+  std::string deep(40, '['), shallow = std::string(20, '[') + std::string(20, ']');
+  struct Case {
+    std::string text;
+    bool good;
+  };
+  for (const Case& c : {Case{"{}", true},
+                        {" {\"a\":[1,-2.5e3,true,null,\"x\"]} ", true},
+                        {shallow, true},
+                        {"\"\\u00e9\\ud83d\\ude00\\n\"", true},
+                        {"", false},
+                        {"{", false},
+                        {"{\"a\":1,}", false},
+                        {"{\"a\":1,\"a\":2}", false},
+                        {"[1,]", false},
+                        {"01", false},
+                        {"1.", false},
+                        {"1e999", false},
+                        {"+1", false},
+                        {"nul", false},
+                        {"1 2", false},
+                        {"\"\\ud83d\"", false},
+                        {"\"\\x\"", false},
+                        {"\"a\nb\"", false},
+                        {"\"open", false},
+                        {deep + std::string(40, ']'), false}})
+    assert(json::read(c.text).has_value() == c.good);
+  auto v = json::read("{\"s\":\"\\u00e9\\ud83d\\ude00\\/\",\"n\":-2.5e3,\"t\":true}");
+  assert(v->word("s") == "\xc3\xa9\xf0\x9f\x98\x80/" && v->number("n") == -2500.0 && !v->number("t"));
+}
+
+static void settingsAreLaidOutAsOnTheWire() {
+  auto v = json::read(
+      "{\"zone\":1,\"azs\":[\"hub one\",\"e,1\"],\"tenants\":[],\"limits\":{\"connIdle\":30000.0,\"cancel\":true},"
+      "\"classes\":[{\"aim\":200.0,\"name\":\"a\"},{\"aim\":100.0,\"name\":\"b\"}]}");
+  assert(sheet::dotted(*v) ==
+         "zone=1\nazs=hub_one,e_1\ntenants=\nlimits.connIdle=30000.0\nlimits.cancel=true\nclasses.count=2\n"
+         "classes.0.aim=200.0\nclasses.0.name=a\nclasses.1.aim=100.0\nclasses.1.name=b\n");
+}
+
+static const std::string put =
+    "PUT /ops/handover/7f3a?part=3 HTTP/1.1\r\nHost: s\r\nX-Request-Id: 9b1f03aa5c7e2d41\r\n"
+    "content-length: 5\r\n\r\nab\r\n\x01";
+
+static void requestsAreReadAtAnySplit() {
+  for (std::size_t cut = 0; cut < put.size(); ++cut) {
+    auto part = clients::readRequest(std::string_view(put).substr(0, cut), 100);
+    assert(part.fault == 0 && !part.whole);
+  }
+  std::string bytes = "\r\n" + put + "GET";
+  auto all = clients::readRequest(bytes, 100);
+  assert(all.whole && all.request.size == put.size() + 2 && all.request.body == "ab\r\n\x01");
+  assert(all.request.path == "/ops/handover/7f3a" && all.request.query == "part=3" && all.request.keepAlive);
+  assert(all.request.header("x-REQUEST-id") == "9b1f03aa5c7e2d41");
+}
+
+static void badRequestsGetTheirStatus() {
+  struct Case {
+    std::string bytes;
+    int fault;
+  };
+  const std::string get = "GET / HTTP/1.1\r\n";
+  for (const Case& c : {Case{"GET / HTTP/1.1\r\n\r\n", 0},
+                        {"\x16\x03\x01", 400},
+                        {"GET /\r\n\r\n", 400},
+                        {"GET / HTTP/2.0\r\n\r\n", 400},
+                        {"GET x HTTP/1.1\r\n\r\n", 400},
+                        {"GET /a b HTTP/1.1\r\n\r\n", 400},
+                        {"G{T / HTTP/1.1\r\n\r\n", 400},
+                        {get + "no colon\r\n\r\n", 400},
+                        {get + " folded: x\r\n\r\n", 400},
+                        {get + "A : x\r\n\r\n", 400},
+                        {get + "A: x\x01\r\n\r\n", 400},
+                        {get + "Content-Length: 5x\r\n\r\n", 400},
+                        {get + "Content-Length: -5\r\n\r\n", 400},
+                        {get + "Content-Length: 5\r\nContent-Length: 5\r\n\r\n", 400},
+                        {get + "Content-Length: 99999999999999999999\r\n\r\n", 413},
+                        {get + "Content-Length: 101\r\n\r\n", 413},
+                        {get + "Transfer-Encoding: chunked\r\n\r\n", 411},
+                        {get + "Transfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n", 400},
+                        {get + "Expect: magic\r\n\r\n", 417},
+                        {"PUT / HTTP/1.1\r\n\r\n", 411},
+                        {get + "A: " + std::string(9000, 'x'), 431}})
+    assert(clients::readRequest(c.bytes, 100).fault == c.fault);
+  assert(!clients::readRequest("GET / HTTP/1.0\r\n\r\n", 100).request.keepAlive);
+  assert(!clients::readRequest(get + "Connection: x, Close\r\n\r\n", 100).request.keepAlive);
+}
+
+static void wantsCarryAllThatTheDecisionsName() {
+  exchange::Ask ask;
+  ask.id = "9b1f03aa5c7e2d41", ask.offering = "video", ask.object = "7f3a", ask.part = "3";
+  SendLeg how;
+  how.patience = 1500.2;
+  assert(caches::wantLine(ask, how, "") ==
+         "want 9b1f03aa5c7e2d41 profile=video,thing=7f3a,nth=3,max=1501 0\r\n\r\n");
+  ask.tag = "4be0", ask.body = "a\r\nb";
+  how.join = how.heldOnly = how.renew = true, how.rank = 2, how.oldest = 0.001;
+  // An age below a millisecond must not become 0, which would lift the cap after a purge.
+  assert(caches::wantLine(ask, how, "s-2") ==
+         "want 9b1f03aa5c7e2d41 profile=video,thing=7f3a,nth=3,max=1501,miss=s-2,prio=2,within=1,"
+         "f=coalesce+shallow+freshen,mine=4be0 4\r\na\r\nb\r\n");
+}
+
+static void answersAreRead() {
+  struct Case {
+    const char* line;
+    Ending ending;
+    Remark remark;
+    std::size_t length;
+  };
+  for (Case c : {Case{"a HIT entity=x1,issued=17645,remark=local,delay=0.5 240000", Ending::finished, Remark::hit, 240000},
+                 {"a VALID entity=x1,issued=1,remark=pulled_far 0", Ending::finished, Remark::filledByOrigin, 0},
+                 {"a NONE remark=not_there 0", Ending::miss, Remark::sourceLacks, 0},
+                 {"a SHED remark=no_place 0", Ending::full, Remark::noFillPlace, 0},
+                 {"a FAULT remark=far_fault 0", Ending::error, Remark::originFailed, 0},
+                 {"a FAULT later=field,remark=cut_off 0", Ending::error, Remark::sourceLost, 0},
+                 {"a LATE - 0", Ending::moot, Remark::none, 0}}) {
+    auto answer = caches::readAnswer(c.line, {});
+    assert(answer && answer->id == "a" && !answer->probe && answer->length == c.length);
+    assert(answer->word.ending == c.ending && answer->word.remark == c.remark);
+  }
+  auto valid = caches::readAnswer("a VALID entity=x1,delay=2.5 0", {});
+  assert(valid->word.unchanged && valid->word.tag == "x1" && valid->word.waited == 2.5);
+  auto pong = caches::readAnswer("p PONG report=util:0.61;inflight:7;odd:1 0", {"inflight", "util"});
+  assert(pong->probe && pong->well && pong->word.report[0] == 7 && pong->word.report[1] == 0.61f);
+  assert(!caches::readAnswer("p SICK - 0", {})->well);
+  for (const char* bad : {"", "a", "a HIT", "a HIT -", "a HIT - x", "a HIT - -1", "a HIT - 240001", "a HUT - 0",
+                          " HIT - 0", "a HIT  0", "a HIT remark=magic 0", "a HIT delay=x 0", "a HIT delay=-1 0",
+                          "a HIT =x 0", "a HIT report=x 0", "a HIT - 0 0", "a HIT - 99999999999999999999"})
+    assert(!caches::readAnswer(bad, {}));
+}
+
+static const sheet::RoadTerms terms{{"video"}, {"hub", "e-1"}, {"box", "parent"}, {}, 400, 30000, 100};
+
+static void noticesAreRead() {
+  auto read = [](const char* text) {
+    auto v = json::read(text);
+    return v ? board::readNotice(*v, terms) : std::nullopt;
+  };
+  auto list = read(
+      "{\"rev\":41,\"pool\":{\"version\":7,\"full\":false,\"servers\":[{\"id\":\"s-1\",\"addr\":\"127.0.0.9:5050\","
+      "\"zone\":\"e-1\",\"kind\":\"parent\",\"cell\":2,\"state\":\"terminating\",\"weight\":4,\"started_ms\":17}]}}");
+  assert(list && list->rev == 41 && list->list && !list->whole && !list->purge && list->entries.size() == 1);
+  const exchange::Listed& one = list->entries[0];
+  assert(one.id == "s-1" && ntohs(one.at.sin_port) == 5050 && one.entry.zone == 1 && one.entry.kind == 1);
+  assert(one.entry.standing == Standing::draining && one.entry.weight == 4 && one.entry.startedAt == 17);
+  auto object = read("{\"rev\":42,\"flush\":{\"asset\":\"7f3a\",\"ms\":123}}");
+  assert(object && object->purge && !object->wholeGroup && object->object == "7f3a" && object->at == 123);
+  auto group = read("{\"rev\":43,\"flush\":{\"collection\":17,\"ms\":480}}");
+  assert(group && group->wholeGroup && group->group == 17);
+  assert(read("{\"rev\":44,\"news\":1}"));  // of a kind to come
+  for (const char* bad :
+       {"{}", "{\"rev\":0}", "{\"rev\":1.5}", "{\"rev\":\"1\"}", "{\"rev\":1,\"pool\":{}}", "[1]",
+        "{\"rev\":1,\"pool\":{\"servers\":[{\"id\":\"s\",\"addr\":\"x\",\"state\":\"in_service\"}]}}",
+        "{\"rev\":1,\"pool\":{\"servers\":[{\"id\":\"s 1\",\"addr\":\"127.0.0.1:1\",\"state\":\"in_service\"}]}}",
+        "{\"rev\":1,\"pool\":{\"servers\":[{\"id\":\"s\",\"addr\":\"127.0.0.1:1\",\"state\":\"odd\"}]}}",
+        "{\"rev\":1,\"flush\":{\"asset\":\"a\"}}", "{\"rev\":1,\"flush\":{\"ms\":1}}"})
+    assert(!read(bad));
+}
+
+static void endsMeanWhatTheyProve() {
+  using loop::Parting;
+  struct Case {
+    Parting how;
+    Ending whole, part;
+  };
+  for (Case c : {Case{Parting::refused, Ending::noConnection, Ending::noConnection},
+                 {Parting::neverUp, Ending::noConnection, Ending::noConnection},
+                 {Parting::noDescriptor, Ending::noConnection, Ending::noConnection},
+                 {Parting::closed, Ending::broken, Ending::noConnection},
+                 {Parting::reset, Ending::broken, Ending::noConnection},
+                 {Parting::malformed, Ending::broken, Ending::noConnection},
+                 {Parting::replaced, Ending::broken, Ending::noConnection}}) {
+    assert(exchange::endingOf(c.how, true) == c.whole);
+    assert(exchange::endingOf(c.how, false) == c.part);
+  }
+}
+
+// Bytes changed at random: the readers may say what they like, but stay in their bounds (sanitizers look on).
+static void junkIsBorne() {
+  std::knuth_b chance(7);
+  const std::string samples[] = {put, "a HIT entity=x1,issued=17645,remark=local,report=a:1;b:2 24",
+                                 "{\"rev\":42,\"flush\":{\"asset\":\"7f\\u00e9\",\"ms\":1.5e2}}"};
+  std::size_t read = 0;
+  for (int i = 0; i < 30000; ++i) {
+    std::string bytes = samples[i % 3];
+    for (int changes = 1 + i % 4; changes > 0; --changes)
+      bytes[chance() % bytes.size()] = static_cast<char>(chance());
+    bytes.resize(chance() % (bytes.size() + 1));
+    auto request = clients::readRequest(bytes, 100);
+    assert(!request.whole || request.request.size <= bytes.size());
+    read += request.whole + caches::readAnswer(bytes, {"a"}).has_value();
+    if (auto v = json::read(bytes)) read += board::readNotice(*v, terms).has_value();
+  }
+  assert(read > 0);
+}
+
+int main() {
+  jsonIsReadStrictly();
+  settingsAreLaidOutAsOnTheWire();
+  requestsAreReadAtAnySplit();
+  badRequestsGetTheirStatus();
+  wantsCarryAllThatTheDecisionsName();
+  answersAreRead();
+  noticesAreRead();
+  endsMeanWhatTheyProve();
+  junkIsBorne();
+}
