--- /dev/null
+++ b/examples/toy.cpp
@@ -0,0 +1,95 @@
+// A toy for trying a front: caches that answer every want, and a notice board without news. It keeps nothing but
+// the names it was asked for, so a first pull is filled and a second one is a hit.
+#include <CLI/CLI.hpp>
+#include <memory>
+#include <set>
+
+#include "loop/listener.hpp"
+
+using namespace dunlinwick::loop;
+
+namespace {
+
+std::string field(const std::string& fields, const std::string& name) {
+  std::size_t at = ("," + fields).find("," + name + "=");
+  return at == std::string::npos ? "" : fields.substr(at + name.size() + 1, fields.find(',', at) - at - name.size() - 1);
+}
+
+struct Peer : Connection::Owner {
+  Loop& loop;
+  bool board, source;
+  std::set<std::string>& kept;
+  Connection connection;
+  Peer(Loop& l, bool isBoard, bool isSource, std::set<std::string>& names, Descriptor fd)
+      : loop(l), board(isBoard), source(isSource), kept(names), connection(l, *this, std::move(fd)) {}
+
+  void ended(Parting) override { connection.close(); }
+  void came() override {
+    for (;;) {
+      std::string_view bytes = connection.in.bytes();
+      std::size_t end = bytes.find('\n');
+      if (end == bytes.npos) return;
+      std::string line(bytes.substr(0, end));
+      if (!line.empty() && line.back() == '\r') line.pop_back();
+      std::size_t body = line.starts_with("want ") ? std::stoul(line.substr(line.rfind(' '))) + 2 : 0;
+      if (bytes.size() < end + 1 + body) return;
+      connection.in.consume(end + 1 + body);
+      take(line);
+    }
+  }
+  void take(const std::string& line) {
+    std::printf("%s\n", line.c_str());
+    if (board) return tellNumber(line.substr(line.find(' ') + 1));
+    std::size_t one = line.find(' '), two = line.find(' ', one + 1), three = line.rfind(' ');
+    std::string what = line.substr(0, one), id = line.substr(one + 1, two - one - 1);
+    if (what == "busy" || what == "there") connection.send(id + " PONG - 0\r\n\r\n");
+    if (what != "want") return;
+    std::string fields = line.substr(two + 1, three - two - 1), thing = field(fields, "thing");
+    std::string name = thing + "/" + field(fields, "nth");
+    bool hit = source || kept.count(name) > 0;
+    if (!hit && field(fields, "miss").empty()) return void(connection.send(id + " NONE remark=not_there 0\r\n\r\n"));
+    kept.insert(name);
+    std::string bytes = field(fields, "profile") + " " + name + "\n";
+    connection.send(id + " HIT entity=toy-" + thing + ",issued=" + std::to_string(static_cast<long long>(loop.now())) +
+                    ",remark=" + (hit ? "local" : "pulled") + " " + std::to_string(bytes.size()) + "\r\n" + bytes + "\r\n");
+  }
+  void tellNumber(const std::string& number) {
+    if (connection.isOver()) return;
+    connection.send(number + "\n");
+    loop.at(loop.now() + 1000, [this, number] { tellNumber(number); });
+  }
+};
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  CLI::App app{"toy caches and a notice board, to try a front with"};
+  std::string board;
+  std::vector<std::string> caches, sources;
+  app.add_option("--board", board, "address of the notice board")->required();
+  app.add_option("--cache", caches, "address of a cache; again for each")->required();
+  app.add_option("--source", sources, "address of a parent or origin, which holds everything; again for each");
+  CLI11_PARSE(app, argc, argv);
+  std::setvbuf(stdout, nullptr, _IOLBF, 0);
+  Loop loop;
+  std::vector<std::unique_ptr<Peer>> peers;  // a toy: kept until the end
+  std::vector<std::unique_ptr<std::set<std::string>>> kept;
+  std::vector<std::unique_ptr<Listener>> listeners;
+  auto open = [&](const std::string& one, bool isBoard, bool isSource) {
+    auto at = readAddress(one);
+    if (!at) throw std::runtime_error("no address: " + one);
+    kept.push_back(std::make_unique<std::set<std::string>>());
+    listeners.push_back(std::make_unique<Listener>(
+        loop, *at, [&loop, &peers, &names = *kept.back(), isBoard, isSource](Descriptor fd) {
+          peers.push_back(std::make_unique<Peer>(loop, isBoard, isSource, names, std::move(fd)));
+        }));
+  };
+  try {
+    open(board, true, false);
+    for (const std::string& one : caches) open(one, false, false);
+    for (const std::string& one : sources) open(one, false, true);
+  } catch (const std::exception& fault) {
+    return std::fprintf(stderr, "dunlinwick_toy: %s\n", fault.what()), 1;
+  }
+  loop.run();
+}
--- a/src/board/board.cpp
+++ b/src/board/board.cpp
@@ -89,8 +89,9 @@
 void Board::ended(Parting how) {
   constexpr Ms first = 20, most = 500;  // soon, since news binds untold; no busy knocking at a dead board
   if (how == Parting::malformed) ++exchange_.counters.badNotices;
-  log::say("notice board: connection %s after event %llu", loop::word(how),
-           static_cast<unsigned long long>(last_));
+  if (pause_ == 0)  // the first in a row
+    log::say("notice board: connection %s after event %llu", loop::word(how),
+             static_cast<unsigned long long>(last_));
   loop_.bury(std::move(connection_));
   connection_ = nullptr;
   loop_.cancel(timer_);
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -9,6 +9,7 @@
 int main(int argc, char** argv) {
   CLI::App app{"dunlinwick: routes pulls to caches that fill from parent caches and an origin"};
   app.require_subcommand(1);
+  app.failure_message(CLI::FailureMessage::help);  // a wrong command line gets its usage
   std::string file, listen;
   CLI::App* serve = app.add_subcommand("serve", "serve clients until SIGTERM; SIGUSR1 prints the counters");
   CLI::App* check = app.add_subcommand("check", "read a configuration and say what it holds");
