--- a/src/caches/caches.cpp
+++ b/src/caches/caches.cpp
@@ -23,7 +23,6 @@
 
   std::uint64_t number() const { return number_; }
   bool idle() const { return open_.empty(); }
-  std::size_t open() const { return open_.size(); }
   Ms usedAt() const { return usedAt_; }
 
   // The peer closes what has been idle for the stated time. A request could cross that close and be taken for
@@ -204,15 +203,8 @@
 
 Caches::Line* Caches::lineFor(Machine& m, std::uint32_t cache, const std::string& id,
                               const std::vector<std::uint64_t>& avoid) {
-  // Answers on one connection come behind each other, and a large or stalled one holds up all after it. So
-  // the least loaded is taken, and a further one opened before it carries many.
-  constexpr std::size_t many = 16;
-  Line* least = nullptr;
   for (auto& [number, line] : m.lines)
-    if (line->fit(id) && std::find(avoid.begin(), avoid.end(), number) == avoid.end() &&
-        (!least || line->open() < least->open()))
-      least = line.get();
-  if (least && (least->open() < many || (count_ >= most_ && !dropIdle()))) return least;
+    if (line->fit(id) && std::find(avoid.begin(), avoid.end(), number) == avoid.end()) return line.get();
   if (count_ >= most_ && !dropIdle()) return nullptr;
   ++count_;
   ++exchange_.counters.cacheConnections;
