--- a/src/caches/lines.cpp
+++ b/src/caches/lines.cpp
@@ -76,7 +76,7 @@
   if (how.oldest > 0) line += ",within=" + whole(how.oldest);
   std::string words;
   auto add = [&](bool on, const char* word) {
-    if (on) words += (words.empty() ? "" : "+") + std::string(word);
+    if (on) words.append(words.empty() ? "" : "+").append(word);
   };
   add(how.join, "coalesce");
   add(how.heldOnly, "shallow");
