--- a/src/exchange/exchange.cpp
+++ b/src/exchange/exchange.cpp
@@ -223,6 +223,7 @@
   if (!leg) return;
   leg->answered = true;
   Pull& p = *known(key.pull);
+  if (word.unchanged && p.ask.tag.empty()) return endLeg(key, Ending::error);  // the client has no copy
   if (word.ending == Ending::finished && p.asker && (p.streaming < 0 || p.streaming == key.leg)) {
     Asker* asker = close(key.pull);
     ++(word.unchanged ? counters.unchanged : counters.finished);
