--- a/tests/front_test.cpp
+++ b/tests/front_test.cpp
@@ -597,7 +597,7 @@
 // ---- the whole front
 
 std::string charter(const loop::Address& listen, const std::string& board, const std::string& store) {
-  return "{\"name\":\"n0\",\"listen\":\"127.0.0.1:" + std::to_string(ntohs(listen.sin_port)) +
+  return "{\"name\":\"n0\",\"listen\":\"" + kit::text(listen) +
          "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":1024},"
          "\"board\":\"" +
          board +
--- a/tests/kit.hpp
+++ b/tests/kit.hpp
@@ -4,6 +4,7 @@
 #include <arpa/inet.h>
 #include <fcntl.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include <cassert>
 #include <cstdio>
@@ -131,13 +132,19 @@
   }
 };
 
+inline std::string text(const loop::Address& at) {
+  char host[INET_ADDRSTRLEN];
+  ::inet_ntop(AF_INET, &at.sin_addr, host, sizeof host);
+  return std::string(host) + ':' + std::to_string(ntohs(at.sin_port));
+}
+
 struct FarListener {
   loop::Descriptor fd{::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0)};
   loop::Address at{};
 
-  explicit FarListener(int backlog = 16) {
+  explicit FarListener(int backlog = 16, in_addr_t host = INADDR_LOOPBACK) {
     at.sin_family = AF_INET;
-    at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    at.sin_addr.s_addr = htonl(host);
     socklen_t size = sizeof at;
     assert(::bind(fd.get(), reinterpret_cast<sockaddr*>(&at), size) == 0);
     assert(::listen(fd.get(), backlog) == 0);
@@ -148,9 +155,11 @@
     until(loop, [&] { return (got = ::accept4(fd.get(), nullptr, nullptr, SOCK_NONBLOCK)) >= 0; });
     return Far(loop::Descriptor(got));
   }
-  std::string text() const { return "127.0.0.1:" + std::to_string(ntohs(at.sin_port)); }
+  std::string text() const { return kit::text(at); }
 };
 
-// An address of loopback at which nobody listens just now.
-inline loop::Address freeAddress() { return FarListener().at; }
+// An address of loopback at which nobody listens just now, of a host that no other process uses.
+inline loop::Address freeAddress() {
+  return FarListener(1, 0x7f400001 + 4 * static_cast<in_addr_t>(::getpid() & 0xffff)).at;
+}
 }  // namespace kit
