--- a/src/clients/clients.cpp
+++ b/src/clients/clients.cpp
@@ -45,6 +45,13 @@
   return fits ? text : std::string_view{};
 }
 
+std::vector<Field> fieldsOf(const std::string& tag, bool bytes) {
+  std::vector<Field> fields;
+  if (bytes) fields.push_back({"Content-Type", "application/octet-stream"});
+  if (!tag.empty()) fields.push_back({"ETag", '"' + tag + '"'});
+  return fields;
+}
+
 }  // namespace
 
 class Clients::Client final : public loop::Connection::Owner, exchange::Asker {
@@ -84,13 +91,9 @@
 
   // ---- answers
   void finished(const std::string& tag, std::string body) override {
-    std::vector<Field> fields{{"Content-Type", "application/octet-stream"}};
-    if (!tag.empty()) fields.push_back({"ETag", '"' + tag + '"'});
-    answer(200, std::move(body), fields);
-  }
-  void unchanged(const std::string& tag) override {
-    answer(304, {}, tag.empty() ? std::vector<Field>{} : std::vector<Field>{{"ETag", '"' + tag + '"'}});
+    answer(200, std::move(body), fieldsOf(tag, true));
   }
+  void unchanged(const std::string& tag) override { answer(304, {}, fieldsOf(tag, false)); }
   void declined(Ms retryAfter) override {
     // Whole milliseconds, up: the client is to stay away for at least the time named.
     std::vector<Field> fields;
@@ -100,9 +103,7 @@
   }
   void abandoned() override { answer(502, {}, {}); }
   void begun(const std::string& tag, std::size_t length) override {
-    std::vector<Field> fields{{"Content-Type", "application/octet-stream"}};
-    if (!tag.empty()) fields.push_back({"ETag", '"' + tag + '"'});
-    connection_.send(answerHead(200, length, stays(), fields));
+    connection_.send(answerHead(200, length, stays(), fieldsOf(tag, true)));
   }
   void more(std::string_view bytes) override { connection_.send(std::string(bytes)); }
   void completed() override { done(); }
@@ -131,7 +132,7 @@
       });
   }
   void answer(int status, std::string body, const std::vector<Field>& fields) {
-    connection_.send(answerHead(status, body.size(), stays(), fields));
+    connection_.send(answerHead(status, body.size(), stays(), fields), !body.empty());
     if (!body.empty()) connection_.send(std::move(body));
     done();
   }
--- a/src/loop/connection.cpp
+++ b/src/loop/connection.cpp
@@ -101,9 +101,13 @@
   rewatch();
 }
 
-std::uint64_t Connection::send(std::string message) {
+std::uint64_t Connection::send(std::string message, bool more) {
+  // Where messages wait already, the socket is full: what is sent now goes out after them.
+  bool waits = !out_.empty() && !held_;
   out_.push_back({std::move(message), ++marks_});
-  if (up_ && !isOver() && out_.size() == 1) flush();
+  held_ = more && !waits;
+  if (held_) return marks_;
+  if (up_ && !isOver() && !waits) flush();
   rewatch();
   return marks_;
 }
--- a/src/loop/connection.hpp
+++ b/src/loop/connection.hpp
@@ -47,11 +47,11 @@
   ~Connection();
 
   Buffer in;
-  std::uint64_t send(std::string message);  // returns its mark
-  bool unsent(std::uint64_t mark) const;    // not written whole
-  bool takeBack(std::uint64_t mark);        // drops a message of which nothing was written
+  // Returns its mark. `more`: another follows at once, and both go out together.
+  std::uint64_t send(std::string message, bool more = false);
+  bool unsent(std::uint64_t mark) const;  // not written whole
+  bool takeBack(std::uint64_t mark);      // drops a message of which nothing was written
   bool drainedOut() const { return out_.empty(); }
-  bool isUp() const { return up_; }
   bool isOver() const { return over_ || report_ != 0; }  // or about to be reported so
   void readUpTo(std::size_t most);                       // reads no more while the buffer holds that much
   void bePatient(bool patient);                          // nothing but its end is waited for
@@ -73,7 +73,7 @@
   Loop& loop_;
   Owner& owner_;
   Descriptor fd_;
-  bool up_ = false, over_ = false, shut_ = false, patient_ = false;
+  bool up_ = false, over_ = false, shut_ = false, patient_ = false, held_ = false;
   std::size_t most_ = 1 << 16;
   std::deque<Message> out_;  // emptied as the other side takes it
   std::size_t outDone_ = 0;  // bytes of the first message that are written
