SIGHUP reads the configuration again and turns to the new notice board

Lines: Signals in src/front/front.cpp caught TERM, INT and USR1 only; Board had one address for life. Now the signal pipe is there before the configuration is read, several SIGHUPs are one reading, an unusable file is one log line and changes nothing, the board is asked at its new address from the last event, and newer events under known are passed on as far as they follow without a gap. The new test fails without the change: the front dies on the signal.

--- a/src/board/board.cpp
+++ b/src/board/board.cpp
@@ -18,20 +18,52 @@
 
 Board::~Board() { loop_.cancel(timer_); }
 
-bool Board::begin(const json::Value& known) {
+// All of them or none: a list read in half would pass for the whole.
+std::optional<std::vector<Notice>> Board::readKnown(const json::Value& known, std::uint64_t& last) const {
   const json::Value* notices = known.find("notices", json::Kind::list);
   auto rev = known.number("rev");
-  if (!notices || !rev || !(*rev >= 0 && *rev < 1e15)) return false;
+  if (!notices || !rev || !(*rev >= 0 && *rev < 1e15)) return std::nullopt;
+  last = static_cast<std::uint64_t>(*rev);
+  std::vector<Notice> all;
   for (const json::Value& one : notices->items) {
     auto notice = readNotice(one, terms_);
-    if (!notice) return false;
-    pass(*notice);
+    if (!notice) return std::nullopt;
+    all.push_back(std::move(*notice));
   }
-  last_ = static_cast<std::uint64_t>(*rev);
+  return all;
+}
+
+bool Board::begin(const json::Value& known) {
+  std::uint64_t last = 0;
+  auto all = readKnown(known, last);
+  if (!all) return false;
+  for (const Notice& notice : *all) pass(notice);
+  last_ = last;
+  return true;
+}
+
+bool Board::moveTo(const loop::Address& at, const json::Value& known) {
+  std::uint64_t last = 0;
+  auto all = readKnown(known, last);
+  if (!all) return false;
+  at_ = at;
+  if (connection_) {
+    connection_->close();
+    loop_.bury(std::move(connection_));
+    connection_ = nullptr;
+  }
+  for (const Notice& notice : *all)
+    if (notice.rev == last_ + 1) {
+      last_ = notice.rev;
+      pass(notice);
+    }
+  pause_ = 0;
+  if (following_) follow();
   return true;
 }
 
 void Board::follow() {
+  following_ = true;
   ++exchange_.counters.boardConnections;
   connection_ = std::make_shared<loop::Connection>(loop_, *this, at_, terms_.connectWithin);
   connection_->readUpTo(longest);
--- a/src/board/board.hpp
+++ b/src/board/board.hpp
@@ -14,11 +14,16 @@
   // The events of the start; false where they can't be read.
   bool begin(const json::Value& known);
   void follow();
+  // Another address, at once, from the last event passed on. `known`: events up to now, of which the newer
+  // ones that follow on without a gap are passed on; the board tells the rest. False, with nothing changed,
+  // where they can't be read.
+  bool moveTo(const loop::Address& at, const json::Value& known);
   std::uint64_t last() const { return last_; }
 
  private:
   void came() override;
   void ended(loop::Parting how) override;
+  std::optional<std::vector<Notice>> readKnown(const json::Value& known, std::uint64_t& last) const;
   bool takeLine(std::string_view line);
   void pass(const Notice& notice);
   void heard();
@@ -30,6 +35,7 @@
   std::uint64_t last_ = 0;  // number of the last event that was passed on
   std::uint64_t timer_ = 0;
   loop::Ms pause_ = 0;
+  bool following_ = false;
   std::shared_ptr<loop::Connection> connection_;
 };
 
--- a/src/exchange/counters.hpp
+++ b/src/exchange/counters.hpp
@@ -11,7 +11,7 @@
   Count neverRan = 0, broken = 0, cancelled = 0, lateAnswers = 0;
   Count probes = 0, probesAnswered = 0;
   Count clientConnections = 0, cacheConnections = 0, badRequests = 0, badLines = 0, badNotices = 0;
-  Count listNews = 0, purges = 0, boardConnections = 0, shortOfDescriptors = 0;
+  Count listNews = 0, purges = 0, boardConnections = 0, shortOfDescriptors = 0, reloads = 0;
 };
 
 }  // namespace dunlinwick::exchange
--- a/src/front/charter.cpp
+++ b/src/front/charter.cpp
@@ -31,7 +31,8 @@
   Charter c;
   c.name = all->word("name");
   c.listen = address(listen.empty() ? need(*all, "listen", Kind::string).text : listen, "listen");
-  c.board = address(need(*all, "board", Kind::string).text, "board");
+  c.boardText = need(*all, "board", Kind::string).text;
+  c.board = address(c.boardText, "board");
   const std::string& seed = need(*all, "seed", Kind::string).text;
   auto [end, fault] = std::from_chars(seed.data(), seed.data() + seed.size(), c.seed, 16);
   if (fault != std::errc{} || end != seed.data() + seed.size())
--- a/src/front/charter.hpp
+++ b/src/front/charter.hpp
@@ -9,7 +9,7 @@
 namespace dunlinwick::front {
 
 struct Charter {
-  std::string name;
+  std::string name, boardText;
   loop::Address listen{}, board{};
   std::uint64_t seed = 0;
   std::size_t descriptors = 0;
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -53,6 +53,12 @@
   board_.follow();
 }
 
+void Front::follow(const Charter& c) {
+  if (!board_.moveTo(c.board, c.known))
+    throw std::runtime_error("configuration lacks usable events under known");
+  ++exchange_.counters.reloads;
+}
+
 void Front::stop() {
   // New connections come for up to 0.4 s after the word to stop, and requests on open ones for 0.2 s more.
   constexpr Ms clientsStillCome = 700;
@@ -83,7 +89,7 @@
   add("broken", c.broken), add("cancelled", c.cancelled), add("moot", c.moot), add("late", c.lateAnswers);
   add("probes", c.probes), add("probes_answered", c.probesAnswered);
   add("client_connections", c.clientConnections), add("cache_connections", c.cacheConnections);
-  add("board_connections", c.boardConnections), add("list_news", c.listNews), add("purges", c.purges);
+  add("reloads", c.reloads), add("board_connections", c.boardConnections), add("list_news", c.listNews), add("purges", c.purges);
   add("bad_requests", c.badRequests), add("bad_lines", c.badLines), add("bad_notices", c.badNotices);
   add("short_of_descriptors", c.shortOfDescriptors);
   return line;
@@ -103,7 +109,9 @@
 
 class Signals final : loop::Handler {
  public:
-  Signals(loop::Loop& loop, Front& front) : loop_(loop), front_(front) {
+  // Before the front is there: a signal that comes while it starts is kept for it.
+  Signals(loop::Loop& loop, std::string path, std::string listen)
+      : loop_(loop), path_(std::move(path)), listen_(std::move(listen)) {
     int ends[2];
     if (::pipe2(ends, O_NONBLOCK | O_CLOEXEC) != 0) throw std::runtime_error("no pipe for signals");
     from_ = loop::Descriptor(ends[0]);
@@ -111,33 +119,54 @@
     signalsTo = to_.get();
     struct sigaction action {};
     action.sa_handler = noteSignal;
-    for (int which : {SIGTERM, SIGINT, SIGUSR1}) ::sigaction(which, &action, nullptr);
+    for (int which : caught) ::sigaction(which, &action, nullptr);
     ::signal(SIGPIPE, SIG_IGN);
-    loop_.watch(from_.get(), *this, POLLIN);
   }
   ~Signals() {
-    for (int which : {SIGTERM, SIGINT, SIGUSR1}) ::signal(which, SIG_IGN);
+    for (int which : caught) ::signal(which, SIG_IGN);
     loop_.forget(from_.get());
   }
+  void reach(Front& front) {
+    front_ = &front;
+    loop_.watch(from_.get(), *this, POLLIN);
+  }
 
  private:
+  static constexpr int caught[] = {SIGTERM, SIGINT, SIGUSR1, SIGHUP};
+
   void ready(short) override {
     char byte = 0;
+    bool again = false;
     while (::read(from_.get(), &byte, 1) == 1)
-      if (byte == SIGUSR1) std::fprintf(stderr, "%s\n", front_.counters().c_str());
-      else front_.stop();
+      if (byte == SIGUSR1) std::fprintf(stderr, "%s\n", front_->counters().c_str());
+      else if (byte == SIGHUP) again = true;  // several that wait are one: the file is read after all of them
+      else front_->stop();
+    if (again) reread();
+  }
+  // Guards against a file half written, or for somebody else: the front that serves goes on as it was.
+  void reread() {
+    try {
+      Charter charter = readCharter(path_, listen_);
+      front_->follow(charter);
+      log::say("new configuration: the notice board is at %s", charter.boardText.c_str());
+    } catch (const std::exception& fault) {
+      log::say("new configuration not taken, the old one stays: %s", fault.what());
+    }
   }
   loop::Loop& loop_;
-  Front& front_;
+  std::string path_, listen_;
+  Front* front_ = nullptr;
   loop::Descriptor from_, to_;
 };
 
 }  // namespace
 
-int serve(const Charter& charter) {
+int serve(const std::string& path, const std::string& listen) {
   loop::Loop loop;
+  Signals signals(loop, path, listen);
+  Charter charter = readCharter(path, listen);
   Front front(loop, charter);
-  Signals signals(loop, front);
+  signals.reach(front);
   log::say("%s serves", charter.name.c_str());
   loop.run();
   std::fprintf(stderr, "%s\n", front.counters().c_str());
--- a/src/front/front.hpp
+++ b/src/front/front.hpp
@@ -10,6 +10,9 @@
 class Front {
  public:
   Front(loop::Loop& loop, const Charter& charter);
+  // Turns to the notice board that a new configuration names. The rest of it holds for the life of a process:
+  // what differs there is passed over. Throws std::runtime_error, with nothing changed, where it is unusable.
+  void follow(const Charter& charter);
   void stop();  // takes what still arrives, answers all it has taken, then ends the loop
   std::string counters() const;
 
@@ -24,7 +27,8 @@
   bool stopping_ = false;
 };
 
-// Serves until SIGTERM or SIGINT; SIGUSR1 prints the counters. Returns the exit code.
-int serve(const Charter& charter);
+// Serves by the configuration at `path` until SIGTERM or SIGINT; SIGHUP reads it again, SIGUSR1 prints the
+// counters. `listen` as with readCharter(). Returns the exit code.
+int serve(const std::string& path, const std::string& listen);
 
 }  // namespace dunlinwick::front
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -11,7 +11,7 @@
   app.require_subcommand(1);
   app.failure_message(CLI::FailureMessage::help);  // a wrong command line gets its usage
   std::string file, listen;
-  CLI::App* serve = app.add_subcommand("serve", "serve clients until SIGTERM; SIGUSR1 prints the counters");
+  CLI::App* serve = app.add_subcommand("serve", "serve clients until SIGTERM; SIGHUP reads the configuration again, SIGUSR1 prints the counters");
   CLI::App* check = app.add_subcommand("check", "read a configuration and say what it holds");
   CLI::App* version = app.add_subcommand("version", "print the version");
   for (CLI::App* one : {serve, check}) {
@@ -25,8 +25,8 @@
       std::puts("dunlinwick " DUNLINWICK_VERSION);
       return 0;
     }
+    if (*serve) return front::serve(file, listen);
     front::Charter charter = front::readCharter(file, listen);
-    if (*serve) return front::serve(charter);
     std::printf("%s: zone %s, %zu offerings, %d fronts, %zu events known\n", charter.name.c_str(),
                 charter.terms.zones.at(static_cast<std::size_t>(charter.sheet.zone)).c_str(),
                 charter.sheet.offerings.size(), charter.sheet.fronts,
--- a/tests/front_test.cpp
+++ b/tests/front_test.cpp
@@ -656,7 +656,7 @@
   std::string path = written(charter(at, board.text(), store.text()));
   pid_t child = ::fork();
   assert(child >= 0);
-  if (child == 0) ::_exit(front::serve(front::readCharter(path, "")));
+  if (child == 0) ::_exit(front::serve(path, ""));
   Far boardEnd = board.next(loop);
   until(loop, [&] { return boardEnd.hears("watch 1\n"); });
   Far first = Far::to(at), second = Far::to(at);
@@ -685,6 +685,52 @@
   ::unlink(path.c_str());
 }
 
+// SIGHUP: the new file's board is followed from the last event, with what is open kept; a file that can't be
+// used changes nothing; one that comes during a stop is taken too.
+void newConfigurationsAreTakenWhileServing() {
+  loop::Loop loop;
+  FarListener store, old, next, last;
+  loop::Address at = freeAddress();
+  std::string path = written(charter(at, old.text(), store.text()));
+  pid_t child = ::fork();
+  assert(child >= 0);
+  if (child == 0) ::_exit(front::serve(path, ""));
+  Far oldEnd = old.next(loop);
+  until(loop, [&] { return oldEnd.hears("watch 1\n"); });
+  Far client = Far::to(at);
+  client.say(get());
+  Far cache = store.next(loop);
+  until(loop, [&] { return cache.hears("want "); });
+  written("{\"board\":");
+  ::kill(child, SIGHUP);
+  oldEnd.say("{\"rev\":2,\"flush\":{\"collection\":3,\"ms\":1}}\n");  // still listened to
+  Ms soon = loop.now() + 100;
+  until(loop, [&] { return loop.now() > soon; });
+  assert(!(oldEnd.read(), oldEnd.over));
+  // Event 2 stands in the new file as well, 3 is new there, 5 comes before 4: the board is asked for it.
+  std::string fresh = charter(at, next.text(), store.text());
+  std::string head = "\"known\":{\"rev\":1,\"notices\":[";
+  fresh.replace(fresh.find(head), head.size(),
+                "\"known\":{\"rev\":5,\"notices\":[{\"rev\":2,\"flush\":{\"collection\":3,\"ms\":1}},{\"rev\":3,"
+                "\"flush\":{\"collection\":4,\"ms\":1}},{\"rev\":5,\"flush\":{\"collection\":4,\"ms\":1}},");
+  written(fresh);
+  ::kill(child, SIGHUP);
+  Far nextEnd = next.next(loop);
+  until(loop, [&] { return nextEnd.hears("watch 3\n"); });
+  until(loop, [&] { return oldEnd.read(), oldEnd.over; });
+  written(charter(at, last.text(), store.text()));
+  ::kill(child, SIGTERM);
+  ::kill(child, SIGHUP);
+  Far lastEnd = last.next(loop);
+  until(loop, [&] { return lastEnd.hears("watch 3\n"); });
+  cache.say(id + " HIT entity=t,remark=local 2\r\nok\r\n");
+  until(loop, [&] { return client.hears("\r\n\r\nok"); });
+  int status = -1;
+  until(loop, [&] { return ::waitpid(child, &status, WNOHANG) == child; });
+  assert(WIFEXITED(status) && WEXITSTATUS(status) == 0);
+  ::unlink(path.c_str());
+}
+
 }  // namespace
 
 int main() {
@@ -715,7 +761,8 @@
                  {"idle clients make room", idleClientsMakeRoom},
                  {"no descriptors is no spin", noDescriptorsIsNoSpin},
                  {"unusable charters say why", unusableChartersSayWhy},
-                 {"a planned stop answers all", aPlannedStopAnswersAll}}) {
+                 {"a planned stop answers all", aPlannedStopAnswersAll},
+                 {"new configurations are taken while serving", newConfigurationsAreTakenWhileServing}}) {
     std::puts(c.name);
     std::fflush(stdout);
     c.run();
