What fell with one connection is one sign; what stops short ends its connection

Lines: Caches::Line::ended told each leg as a break of its own; blame() struck for each, and took every break for a possible new process (mayBeNew). Now the legs of a connection are told in order, the one whose answer was being read first, with how many fell before (LegEnded::fellWith); only the first strikes and avoids the cache. New is what could not be reached: no connection, a failed probe, a break while aside. An answer that stops short ends its connection after 0.15 s without a byte (Parting::stalled); on a connection mute for longer than the time to connect nothing new is sent; no leg goes where another of its pull went, since second copies come; a kept object without tag or age is an error. Checked: writes are answered without both, kept objects never. The new tests fail without the change.

--- a/src/caches/caches.cpp
+++ b/src/caches/caches.cpp
@@ -20,6 +20,7 @@
         heardAt_(all.loop_.now()),
         usedAt_(heardAt_),
         connection_(all.loop_, *this, at, all.terms_.connectWithin) {}
+  ~Line() { all_.loop_.cancel(look_); }
 
   std::uint64_t number() const { return number_; }
   bool idle() const { return open_.empty(); }
@@ -28,7 +29,7 @@
   // The peer closes what has been idle for the stated time. A request could cross that close and be taken for
   // one that may have run; so it is not used in the last tenth of that time.
   bool fit(const std::string& id) const {
-    return !connection_.isOver() && !stale_ && open_.count(id) == 0 &&
+    return !connection_.isOver() && !stale_ && !mute() && open_.count(id) == 0 &&
            open_.size() < static_cast<std::size_t>(all_.terms_.legsAtOnce) &&
            (!idle() || all_.loop_.now() - usedAt_ < 0.9 * all_.terms_.idleFor);
   }
@@ -70,23 +71,32 @@
     heardAt_ = usedAt_ = all_.loop_.now();
     while (!connection_.isOver() && readOne()) {
     }
+    if (look_ == 0 && inPart()) lookAgain(false);
   }
 
   void ended(Parting how) override {
-    if (how == Parting::malformed) {
-      ++all_.exchange_.counters.badLines;
-      log::say("%s: malformed line; its connection ends", all_.machines_.at(cache_).id.c_str());
+    if (how == Parting::malformed || how == Parting::stalled) {
+      ++(how == Parting::stalled ? all_.exchange_.counters.stalled : all_.exchange_.counters.badLines);
+      log::say("%s: answer %s; its connection ends", all_.machines_.at(cache_).id.c_str(), loop::word(how));
     }
-    auto lost = std::move(open_);
+    struct Lost {
+      Open open;
+      bool whole;
+    };
+    std::vector<Lost> lost;
+    for (auto& [id, open] : open_) lost.push_back({open, !connection_.unsent(open.mark)});
+    // The one whose answer was being read is told first: the others only fell with it.
+    if (Open* culprit = reading_ ? theirs() : nullptr)
+      std::stable_partition(lost.begin(), lost.end(),
+                            [&](const Lost& one) { return one.open.mark == culprit->mark; });
     open_.clear();
-    std::map<std::string, bool> whole;
-    for (auto& [id, open] : lost) whole[id] = !connection_.unsent(open.mark);
     Caches& all = all_;
     std::uint32_t cache = cache_;
     all.drop(cache, number_);  // this object lives until the turn is over
-    for (auto& [id, open] : lost)
+    int fell = 0;
+    for (auto& [open, whole] : lost)
       if (open.probe) all.exchange_.probeEnded(cache, false, all.loop_.now() - open.sentAt, {});
-      else all.exchange_.legLost(open.key, how, whole[id]);
+      else all.exchange_.legLost(open.key, how, whole, fell++);
   }
 
  private:
@@ -97,6 +107,28 @@
     Ms sentAt = 0;
   };
 
+  // Guards against an answer that stops short or a line that never ends: nothing behind it would be read.
+  // Twice, so that a standstill of this process with bytes waiting is not taken for one of the peer's. Harm: a
+  // machine that pauses in mid-answer for as long loses what is open here.
+  void lookAgain(bool quiet) {
+    constexpr Ms half = 75;  // twice that is beyond a busy machine's standstills (40 ms), below any agreed time
+    look_ = all_.loop_.at(all_.loop_.now() + half, [this, quiet, heard = heardAt_] {
+      look_ = 0;
+      if (!inPart() || connection_.isOver()) return;
+      if (quiet && heard == heardAt_) return connection_.endAs(Parting::stalled);
+      lookAgain(heard == heardAt_);
+    });
+  }
+  bool inPart() const { return reading_ || connection_.in.size() > 0; }
+
+  // Nothing heard since long before the oldest that is open was sent: nothing new goes here meanwhile. Harm:
+  // one connection more beside a slow answer.
+  bool mute() const {
+    Ms oldest = all_.loop_.now() - all_.terms_.connectWithin;
+    return std::any_of(open_.begin(), open_.end(), [&](auto& one) {
+      return one.second.sentAt < oldest && heardAt_ <= one.second.sentAt;
+    });
+  }
   // Nothing heard since long before what was given up now was sent: the other side may have vanished without
   // a word. Nothing new goes here; a new connection shows whether it is there.
   void doubt(Ms sentAt) {
@@ -169,6 +201,7 @@
   std::uint64_t number_;
   bool stale_ = false, reading_ = false;
   Ms heardAt_, usedAt_;
+  std::uint64_t look_ = 0;  // timer, while an answer has come in part
   Answer answer_;  // the one being read, and how many of its bytes are still to come
   std::size_t left_ = 0;
   std::map<std::string, Open> open_;  // emptied by answers, giving up, overdue probes and the end
--- a/src/caches/lines.cpp
+++ b/src/caches/lines.cpp
@@ -52,6 +52,10 @@
     if (name.empty()) return false;
     if (name == "entity" && !isTag(value)) return false;
     if (name == "entity") word.tag = value;
+    if (name == "issued") {
+      Ms at = 0;
+      if (!(word.dated = readTime(value, at))) return false;
+    }
     if (name == "delay" && !readTime(value, word.waited)) return false;
     if (name == "report" && !readReport(value, reported, word.report)) return false;
     if (name != "remark") continue;
--- a/src/exchange/exchange.cpp
+++ b/src/exchange/exchange.cpp
@@ -19,6 +19,7 @@
     case Parting::reset:
     case Parting::silent:
     case Parting::malformed:
+    case Parting::stalled:
     case Parting::replaced:
     case Parting::letGo:
       // Half a line is no request: what was not written whole never ran. What was may have.
@@ -66,10 +67,10 @@
   if (!p) return;
   LegKey key{a.pull, static_cast<int>(p->legs.size())};
   std::vector<std::uint64_t> avoid;
-  // The legs of a pull share its id. On a connection where one was given up unanswered, or is still out, its
-  // answer would pass for this leg's.
+  // The legs of a pull share its id. On a connection that had one of them, its answer, or a second copy of
+  // it, would pass for this leg's.
   for (const Leg& leg : p->legs)
-    if (leg.cache == a.cache && !leg.answered && leg.via != 0) avoid.push_back(leg.via);
+    if (leg.cache == a.cache && leg.via != 0) avoid.push_back(leg.via);
   Ms now = loop_.now();
   Leg leg;
   leg.cache = a.cache;
@@ -177,7 +178,7 @@
   ++*counts[static_cast<int>(ending)];
 }
 
-void Exchange::endLeg(LegKey key, Ending ending, const Word& word) {
+void Exchange::endLeg(LegKey key, Ending ending, const Word& word, int fellWith) {
   Pull* p = known(key.pull);
   Leg& leg = p->legs[static_cast<std::size_t>(key.leg)];
   leg.out = false;
@@ -192,6 +193,7 @@
   e.final = !p->asker;
   e.remark = word.remark;
   e.waited = word.waited;
+  e.fellWith = fellWith;
   e.report = word.report;
   if (!p->asker) ended_.push_back(key.pull);
   tell(std::move(e));
@@ -203,7 +205,7 @@
   leg->bytes.reserve(length);
   Pull& p = *known(key.pull);
   if (!offerings_[static_cast<std::size_t>(p.ask.offeringAt)].streams || !p.asker || p.streaming >= 0 ||
-      word.ending != Ending::finished || word.unchanged)
+      word.ending != Ending::finished || word.unchanged || word.tag.empty() || !word.dated)
     return;
   p.streaming = key.leg;
   p.asker->begun(word.tag, length);
@@ -221,9 +223,13 @@
 void Exchange::answerWhole(LegKey key, const Word& word) {
   Leg* leg = legOut(key);
   if (!leg) return;
-  leg->answered = true;
   Pull& p = *known(key.pull);
-  if (word.unchanged && p.ask.tag.empty()) return endLeg(key, Ending::error);  // the client has no copy
+  // Not what the protocol promises: a client's copy confirmed where it told of none; a kept object without
+  // its tag or age, which may be any bytes of any age.
+  bool kept = !offerings_[static_cast<std::size_t>(p.ask.offeringAt)].neverKept;
+  bool lacks = kept && (word.tag.empty() || !word.dated);
+  if (word.ending == Ending::finished && p.streaming < 0 && (lacks || (word.unchanged && p.ask.tag.empty())))
+    return endLeg(key, Ending::error);
   if (word.ending == Ending::finished && p.asker && (p.streaming < 0 || p.streaming == key.leg)) {
     Asker* asker = close(key.pull);
     ++(word.unchanged ? counters.unchanged : counters.finished);
@@ -234,14 +240,14 @@
   endLeg(key, word.ending, word);
 }
 
-void Exchange::legLost(LegKey key, Parting how, bool writtenWhole) {
+void Exchange::legLost(LegKey key, Parting how, bool writtenWhole, int fellWith) {
   if (!legOut(key)) return;
   Pull& p = *known(key.pull);
   if (p.streaming == key.leg && p.asker) {
     ++counters.brokenMidway;
     close(key.pull)->brokeOff();
   }
-  endLeg(key, endingOf(how, writtenWhole));
+  endLeg(key, endingOf(how, writtenWhole), {}, fellWith);
 }
 
 void Exchange::probeEnded(std::uint32_t cache, bool answered, Ms took, std::vector<float> report) {
--- a/src/exchange/exchange.hpp
+++ b/src/exchange/exchange.hpp
@@ -52,6 +52,7 @@
   Remark remark = Remark::none;
   Ms waited = 0;
   std::string tag;
+  bool dated = false;  // it says when the origin gave out its copy
   std::vector<float> report;
 };
 
@@ -95,7 +96,8 @@
   void answerBegun(LegKey key, const Word& word, std::size_t length);
   void answerBytes(LegKey key, std::string_view bytes);
   void answerWhole(LegKey key, const Word& word);
-  void legLost(LegKey key, loop::Parting how, bool writtenWhole);
+  // `fellWith`: legs told before it that fell with the same connection.
+  void legLost(LegKey key, loop::Parting how, bool writtenWhole, int fellWith = 0);
   void probeEnded(std::uint32_t cache, bool answered, Ms took, std::vector<float> report);
 
   // from the notice board
@@ -107,7 +109,7 @@
     std::uint32_t cache = 0;
     std::uint64_t via = 0;
     Ms sentAt = 0;
-    bool out = true, answered = false;
+    bool out = true;
     std::string bytes;
   };
   struct Pull {
@@ -131,7 +133,7 @@
   void act(const WriteLine& a);
   Pull* known(std::uint32_t pull);
   Leg* legOut(LegKey key);
-  void endLeg(LegKey key, Ending ending, const Word& word = {});
+  void endLeg(LegKey key, Ending ending, const Word& word = {}, int fellWith = 0);
   void count(Ending ending);
   std::uint32_t numberOf(const std::string& machine);
 
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -90,7 +90,7 @@
   add("probes", c.probes), add("probes_answered", c.probesAnswered);
   add("client_connections", c.clientConnections), add("cache_connections", c.cacheConnections);
   add("reloads", c.reloads), add("board_connections", c.boardConnections), add("list_news", c.listNews), add("purges", c.purges);
-  add("bad_requests", c.badRequests), add("bad_lines", c.badLines), add("bad_notices", c.badNotices);
+  add("bad_requests", c.badRequests), add("bad_lines", c.badLines), add("stalled", c.stalled), add("bad_notices", c.badNotices);
   add("short_of_descriptors", c.shortOfDescriptors);
   return line;
 }
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -308,8 +308,8 @@
   }
   bool judge(Machine& m) { return !m.aside && silent(m) ? strike(m, strikesOut), false : usable(m); }
 
-  // Guards against whatever makes a machine fail legs in a row: a crash the list has not told, a refused
-  // port, a break. Harm: a machine that only ran out of connections rests for a moment too.
+  // Guards against whatever makes a machine fail in a row: a crash the list has not told, a refused port, a
+  // break. What fell with one connection is one sign. Harm: one that only ran out of them rests for a moment.
   static constexpr int strikesOut = 2;  // one failure may be chance, two in a row are not
   void strike(Machine& m, int by = 1) {
     constexpr Ms firstPause = second / 4, longestPause = 4 * second;  // short beside the list's own delay
@@ -324,10 +324,10 @@
   }
 
   void absolve(Machine& m) {
-    m.strikes = 0;
+    m.strikes = 0, m.mayBeNew &= m.aside;
     if (!m.aside || (may.probe && m.answers < 2)) return;  // with probes: back only after two answered
     m.answers = 0;
-    // One that broke connections may be a new process that the list has not told of: it is taken for cold.
+    // One that could not be reached may be a new process that the list has not told of: it is taken for cold.
     if (m.mayBeNew) m.startedAt = now;
     m.aside = m.trialOut = m.mayBeNew = false;
     say("is back", m);
@@ -336,7 +336,7 @@
   void probed(const ProbeEnded& e) {
     auto at = machines.find(e.cache);
     if (at == machines.end() || !at->second.aside) return;
-    if (!e.answered) return strike(at->second);
+    if (!e.answered) return at->second.mayBeNew = true, strike(at->second);
     if (++at->second.answers < 2) return act(WakeMe{now + second / 10, wakeMachine << 56 | e.cache});
     if (at->second.role == Role::store) absolve(at->second);
   }
@@ -694,8 +694,8 @@
     } else if (e.ending == Ending::full) {
       leg.at->fullUntil = now + second / 20;  // its queue needs a moment
       p.failed.push_back(leg.at);
-    } else if (e.ending != Ending::cancelled && e.ending != Ending::moot) {
-      leg.at->mayBeNew |= e.ending == Ending::noConnection || e.ending == Ending::broken;
+    } else if (e.ending != Ending::cancelled && e.ending != Ending::moot && e.fellWith == 0) {
+      leg.at->mayBeNew |= e.ending == Ending::noConnection || (leg.at->aside && e.ending == Ending::broken);
       strike(*leg.at);
       p.failed.push_back(leg.at);
     }
--- a/src/logic.hpp
+++ b/src/logic.hpp
@@ -108,6 +108,7 @@
   bool final = false;
   Remark remark = Remark::none;
   Ms waited = 0;  // until the first byte of a fill came, or it failed
+  int fellWith = 0;  // legs told before it that ended with the same connection
   std::vector<float> report;
 };
 struct ClientLeft {
--- a/src/loop/connection.cpp
+++ b/src/loop/connection.cpp
@@ -15,7 +15,7 @@
 
 const char* word(Parting how) {
   static const char* const words[] = {"refused", "never up",  "no descriptor", "closed", "reset",
-                                      "silent",  "malformed", "replaced",      "let go"};
+                                      "silent",  "malformed", "stalled", "replaced", "let go"};
   return words[static_cast<int>(how)];
 }
 
--- a/src/loop/connection.hpp
+++ b/src/loop/connection.hpp
@@ -22,6 +22,7 @@
   reset,         // it broke
   silent,        // nothing came for too long
   malformed,     // what came can't be read
+  stalled,       // what came stopped short
   replaced,      // another process is listed in the other side's place
   letGo          // closed from here, with nothing open on it
 };
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -85,7 +85,7 @@
 }
 
 // Work sent to a cold cache, and fills asked of a cold parent, in any window, against this front's share.
-// Likewise at a cache that broke connections and answers again: it may be new, whatever the list says.
+// Likewise at a cache that could not be reached and answers again: it may be new, whatever the list says.
 static void coldMachinesSpared() {
   enum class Cold { cache, parent, silentlyNew };
   for (Cold how : {Cold::cache, Cold::parent, Cold::silentlyNew}) {
@@ -224,6 +224,28 @@
   }
 }
 
+// Legs that fell with one connection are one sign: the cache stays in use, the legs that only fell with it are
+// asked there again, and a cache whose answers can't be read is not taken for a new process when it is back.
+static void oneBreakIsOneSign() {
+  Front f;
+  SendLeg a = f.pull(1), b = f.pull(1);
+  LegEnded e;
+  e.ending = Ending::broken, e.cache = a.cache;
+  for (e.pull = a.pull; e.pull <= b.pull; ++e.pull, ++e.fellWith) {
+    f.tell(e);
+    assert((f.leg().cache == a.cache) == (e.fellWith > 0));
+  }
+  assert(f.pull(1).cache == a.cache);
+  f.end({f.lastPull, a.cache}, Ending::broken);  // a second connection: set aside
+  assert(f.pull(1).cache != a.cache);
+  for (int i = 0; i < 2; ++i) f.tell(ProbeEnded{a.cache, true, 1, {}});
+  for (int i = 0; i < 20; ++i) {  // more than a cold one would be sent
+    SendLeg again = f.pull(1, 0, 2000);
+    assert(again.cache == a.cache);
+    f.finish(again);
+  }
+}
+
 static void failingCachesRestAndComeBack() {
   for (bool probes : {true, false}) {
     StoreSheet s = sheet();
@@ -528,6 +550,7 @@
                  {"moved homes fill from siblings", movedHomesFillFromSiblings},
                  {"ranks follow held chance", ranksFollowHeldChance},
                  {"omega learns from warm caches only", omegaLearnsFromWarmCachesOnly},
+                 {"one break is one sign", oneBreakIsOneSign},
                  {"failing caches rest and come back", failingCachesRestAndComeBack},
                  {"a crowded link looks first", crowdedLinkLooksFirst},
                  {"full fill places are no fault", fullFillPlacesAreNoFault},
