Bounds on all that outlives a pull; silent clients go in 3 s; strict requests; no leg to a taken address

Seen in the code, as the issue lists it: machines, names and numbers kept for life in module, exchange and caches; parts kept whatever their age; timers of ended legs; 64 KB buffers; 10 and 15 s for silent and half requests; a group of 1.5 read as 1, 1e3 as a time, a second header passed over; an open id taken twice; legs under an old id to an address that a new machine has. Machines now go a minute after their last good answer once they are gone (module), names 3 minutes after (exchange, caches); parts go by the longest omega; a leg's timer goes with it; no pull lasts beyond its offering's expiry. Each new test was seen to fail or not to build without the change; the age of parts has none, since what it drops says nothing any more.

--- a/src/caches/caches.cpp
+++ b/src/caches/caches.cpp
@@ -44,8 +44,9 @@
     usedAt_ = now;
     // No time is stated for a probe; what a connection is given to come up does for a small answer too.
     all_.loop_.at(now + all_.terms_.connectWithin, [&all = all_, cache = cache_, number = number_, id] {
-      auto& lines = all.machines_.at(cache).lines;
-      if (auto at = lines.find(number); at != lines.end()) at->second->probeOverdue(id);
+      auto m = all.machines_.find(cache);
+      if (m == all.machines_.end()) return;
+      if (auto at = m->second.lines.find(number); at != m->second.lines.end()) at->second->probeOverdue(id);
     });
   }
 
@@ -77,7 +78,7 @@
   void ended(Parting how) override {
     if (how == Parting::malformed || how == Parting::stalled) {
       ++(how == Parting::stalled ? all_.exchange_.counters.stalled : all_.exchange_.counters.badLines);
-      log::say("%s: answer %s; its connection ends", all_.machines_.at(cache_).id.c_str(), loop::word(how));
+      log::say("%s: answer %s; its connection ends", all_.machines_[cache_].id.c_str(), loop::word(how));
     }
     struct Lost {
       Open open;
@@ -216,7 +217,9 @@
 Caches::~Caches() { loop_.cancel(sweep_); }
 
 void Caches::drop(std::uint32_t cache, std::uint64_t line) {
-  auto& lines = machines_.at(cache).lines;
+  auto m = machines_.find(cache);
+  if (m == machines_.end()) return;
+  auto& lines = m->second.lines;
   auto at = lines.find(line);
   if (at == lines.end()) return;
   loop_.bury(std::move(at->second));
@@ -248,6 +251,10 @@
 std::uint64_t Caches::send(LegKey key, const Ask& ask, const SendLeg& how,
                            const std::vector<std::uint64_t>& avoid) {
   auto at = machines_.find(how.cache), source = machines_.find(how.source);
+  if (at != machines_.end() && at->second.supplanted) {
+    exchange_.legLost(key, Parting::replaced, false);
+    return 0;
+  }
   Line* line = at == machines_.end() || source == machines_.end()
                    ? nullptr
                    : lineFor(at->second, how.cache, ask.id, avoid);
@@ -269,7 +276,8 @@
 void Caches::probe(std::uint32_t cache) {
   auto at = machines_.find(cache);
   std::string id = "probe-" + std::to_string(++last_);
-  if (Line* line = at == machines_.end() ? nullptr : lineFor(at->second, cache, id, {})) line->probe(id);
+  bool none = at == machines_.end() || at->second.supplanted;
+  if (Line* line = none ? nullptr : lineFor(at->second, cache, id, {})) line->probe(id);
   else exchange_.probeEnded(cache, false, 0, {});
 }
 
@@ -280,15 +288,27 @@
   m.id = id;
   m.at = at;
   m.startedAt = entry.startedAt;
+  m.supplanted &= entry.standing != Standing::ready;
   // Its connections lead to the process that was there before, which may have vanished without a word. So do
-  // those of another machine whose address this one has been given.
+  // those of another machine whose address this one has been given: nothing more goes there in its name.
   for (auto& [other, one] : machines_) {
     bool there = one.at.sin_port == at.sin_port && one.at.sin_addr.s_addr == at.sin_addr.s_addr;
-    if (other == entry.cache ? another : there && entry.standing == Standing::ready)
+    bool taken = other != entry.cache && there && entry.standing == Standing::ready;
+    one.supplanted |= taken;
+    if (other == entry.cache ? another : taken)
       for (auto& [number, line] : one.lines) line->end(Parting::replaced);
   }
 }
 
+void Caches::forget(std::uint32_t cache) {
+  auto at = machines_.find(cache);
+  if (at == machines_.end()) return;
+  std::vector<std::shared_ptr<Line>> lines;
+  for (auto& [number, line] : at->second.lines) lines.push_back(line);
+  for (auto& line : lines) drop(cache, line->number());
+  machines_.erase(at);
+}
+
 void Caches::sweep() {
   constexpr Ms often = 1000;  // idle connections may stay a moment longer
   std::vector<std::shared_ptr<Line>> all;
--- a/src/caches/caches.hpp
+++ b/src/caches/caches.hpp
@@ -17,6 +17,7 @@
   void giveUp(exchange::LegKey key, const exchange::Ask& ask, std::uint32_t cache) override;
   void probe(std::uint32_t cache) override;
   void list(const ListEntry& entry, const std::string& id, const loop::Address& at) override;
+  void forget(std::uint32_t cache) override;
 
  private:
   class Line;
@@ -25,6 +26,7 @@
     std::string id;
     loop::Address at{};
     Ms startedAt = 0;
+    bool supplanted = false;  // another machine has its address now
     std::map<std::uint64_t, std::shared_ptr<Line>> lines;  // by number; emptied as they end
   };
   Line* lineFor(Machine& m, std::uint32_t cache, const std::string& id,
@@ -38,7 +40,7 @@
   sheet::RoadTerms terms_;
   std::size_t most_, count_ = 0;
   std::uint64_t last_ = 0, sweep_ = 0;
-  std::map<std::uint32_t, Machine> machines_;  // as many as were ever listed
+  std::map<std::uint32_t, Machine> machines_;  // emptied by forget()
 };
 
 }  // namespace dunlinwick::caches
--- a/src/clients/clients.cpp
+++ b/src/clients/clients.cpp
@@ -17,12 +17,18 @@
 constexpr Ms second = 1000;
 // Clients close connections idle for 4 s; later than that, so that no request crosses a close of ours.
 constexpr Ms idleFor = 10 * second;
-// For a request to come whole, or an answer to be taken: no pull lasts as long, and a dead peer must go.
-constexpr Ms slowest = 15 * second;
+// For the first word to come, and a request to come whole: a client is owed an end within 3 s, looked at four
+// times a second. Harm: one on so slow a way that a request takes as long. Those that close as well are sent
+// again, on a new connection.
+constexpr Ms slowestRequest = 2.5 * second;
+// For an answer to be taken: no pull lasts as long, and a dead peer must go.
+constexpr Ms slowestAnswer = 15 * second;
 constexpr Ms lingerFor = second;  // reads on after a refusal, so that a reset does not overtake it
 
+// Digits and a fraction at most: no sign, no exponent, no words.
 std::optional<double> number(std::string_view text, double low, double high) {
   double v = 0;
+  if (text.find_first_not_of("0123456789.") != text.npos) return std::nullopt;
   auto [end, fault] = std::from_chars(text.data(), text.data() + text.size(), v);
   if (text.empty() || fault != std::errc{} || end != text.data() + text.size() || !(v >= low && v <= high))
     return std::nullopt;
@@ -67,8 +73,8 @@
   // Closes it where it has been idle, half read, or not been taking its answer for too long.
   void sweep(Ms now) {
     if (open_) return;
-    Ms limit = closing_ ? lingerFor : idle() ? idleFor : slowest;
-    if (closing_ && !connection_.drainedOut()) limit = slowest;
+    Ms limit = closing_ ? lingerFor : idle() && said_ ? idleFor : slowestRequest;
+    if (!connection_.drainedOut()) limit = slowestAnswer;
     if (now - since_ < limit) return;
     if (!idle() && !closing_ && connection_.drainedOut()) return refuse(408);
     drop();
@@ -155,7 +161,7 @@
   }
 
   bool readOne() {
-    if (lastEmpty_) since_ = all_.loop_.now();
+    if (lastEmpty_ && said_) since_ = all_.loop_.now();  // the first counts from the connection's start
     Reading reading = readRequest(connection_.in.bytes(), exchange::mostWritten);
     if (reading.fault != 0) return refuse(reading.fault), false;
     lastEmpty_ = reading.whole;
@@ -165,6 +171,7 @@
       return false;
     }
     continued_ = false;
+    said_ = true;
     keepAlive_ = reading.request.keepAlive;
     take(reading.request);
     if (!closing_) connection_.in.consume(reading.request.size);
@@ -201,7 +208,8 @@
     if (!writes && !r.body.empty()) return 400;
     ask.body = r.body;
     ask.id = r.header("X-Request-Id");
-    if (!isId(ask.id)) return 400;
+    if (!isId(ask.id) || r.repeats({"Host", "X-Request-Id", "X-Timeout-Ms", "X-Group", "X-Memory-Kb"}))
+      return 400;
     std::string_view query = r.query;
     if (!query.empty()) {
       if (!query.starts_with("part=")) return 400;
@@ -211,7 +219,7 @@
       ask.partNumber = static_cast<int>(*part);
     }
     auto ttl = number(r.header("X-Timeout-Ms"), 0, 1e7), group = number(r.header("X-Group"), 0, 255);
-    if (!ttl || !group) return 400;
+    if (!ttl || !group || *group != std::floor(*group)) return 400;
     ask.ttl = *ttl;
     ask.group = static_cast<int>(*group);
     if (r.has("X-Memory-Kb")) {
@@ -220,6 +228,8 @@
       ask.sizeKb = *size;
     }
     ask.tag = bareTag(r.header("If-None-Match"));
+    // Ids are new with every request. Two open ones under one id could get each other's answer, or run twice.
+    if (all_.exchange_.isOpen(ask.id)) return 409;
     return 0;
   }
 
@@ -229,6 +239,7 @@
   bool open_ = false;     // a pull is owed its answer
   bool closing_ = false;  // said all: what goes out is the last
   bool keepAlive_ = true, reading_ = false, continued_ = false, lastEmpty_ = true;
+  bool said_ = false;  // a whole request has come
   std::uint32_t pull_ = 0;
   Ms since_;  // the last request's or answer's end
 };
--- a/src/clients/http.cpp
+++ b/src/clients/http.cpp
@@ -51,6 +51,8 @@
       return "Method Not Allowed";
     case 408:
       return "Request Timeout";
+    case 409:
+      return "Conflict";
     case 411:
       return "Length Required";
     case 413:
@@ -119,6 +121,12 @@
   return std::any_of(headers.begin(), headers.end(), [&](auto& h) { return sameLetters(h.first, name); });
 }
 
+bool Request::repeats(std::initializer_list<std::string_view> names) const {
+  return std::any_of(names.begin(), names.end(), [&](std::string_view name) {
+    return std::count_if(headers.begin(), headers.end(), [&](auto& h) { return sameLetters(h.first, name); }) > 1;
+  });
+}
+
 Reading readRequest(std::string_view bytes, std::size_t mostBody) {
   constexpr std::size_t mostHead =
       8192;  // the protocol's requests have some 300 bytes; common servers' limit
--- a/src/clients/http.hpp
+++ b/src/clients/http.hpp
@@ -15,6 +15,7 @@
 
   std::string_view header(std::string_view name) const;  // "" where absent; any case
   bool has(std::string_view name) const;
+  bool repeats(std::initializer_list<std::string_view> names) const;  // one of them comes more than once
 };
 
 struct Reading {
--- a/src/exchange/exchange.cpp
+++ b/src/exchange/exchange.cpp
@@ -82,7 +82,7 @@
   SendLeg how = a;
   how.patience = a.patience > 0 ? std::min(a.patience, p->expiresAt - now) : p->expiresAt - now;
   if (how.patience <= 0) return endLeg(key, Ending::moot);
-  loop_.at(now + how.patience, [this, key] {
+  p->legs.back().timer = loop_.at(now + how.patience, [this, key] {
     if (!legOut(key) || known(key.pull)->streaming == key.leg) return;
     caches_->giveUp(key, known(key.pull)->ask, legOut(key)->cache);
     endLeg(key, Ending::timedOut);
@@ -131,7 +131,14 @@
   return at == pulls_.end() ? nullptr : &at->second;
 }
 
+bool Exchange::isOpen(std::string_view id) const {
+  return std::any_of(pulls_.begin(), pulls_.end(),
+                     [&](auto& one) { return one.second.asker && one.second.ask.id == id; });
+}
+
 std::uint32_t Exchange::pullCame(Ask ask, Asker& asker) {
+  // None lasts longer than its offering's expiry; what a client says beyond it would only be held as long.
+  ask.ttl = std::min(ask.ttl, offerings_[static_cast<std::size_t>(ask.offeringAt)].expiry);
   do ++lastPull_;
   while (pulls_.count(lastPull_));
   std::uint32_t number = lastPull_;
@@ -183,6 +190,7 @@
   Leg& leg = p->legs[static_cast<std::size_t>(key.leg)];
   leg.out = false;
   leg.bytes = {};
+  loop_.cancel(leg.timer);
   count(ending);
   LegEnded e;
   e.pull = key.pull;
@@ -257,25 +265,44 @@
 
 // ---- the notice board
 
-std::uint32_t Exchange::numberOf(const std::string& machine) {
+Exchange::Known& Exchange::numberOf(const std::string& machine) {
   auto at = numbers_.find(machine);
   if (at != numbers_.end()) return at->second;
   std::uint64_t h = hashed(machine);
   auto number = static_cast<std::uint32_t>(h ^ h >> 32);
   auto taken = [&] {
-    return std::any_of(numbers_.begin(), numbers_.end(), [&](auto& one) { return one.second == number; });
+    return std::any_of(numbers_.begin(), numbers_.end(),
+                       [&](auto& one) { return one.second.number == number; });
   };
   while (number == 0 || taken()) ++number;
-  return numbers_[machine] = number;
+  return numbers_[machine] = {number, 0};
+}
+
+// New machines come under new ids all day. What was gone for longer than any pull lasts, and than the decisions
+// remember it, has no leg open and is named by nobody.
+void Exchange::forgetGone() {
+  constexpr Ms kept = 180 * 1000;
+  std::erase_if(numbers_, [&](auto& one) {
+    bool old = one.second.goneAt > 0 && one.second.goneAt < loop_.now() - kept;
+    if (old) caches_->forget(one.second.number);
+    return old;
+  });
 }
 
 void Exchange::listCame(bool whole, const std::vector<Listed>& entries) {
   ++counters.listNews;
   ListNews news;
   news.listing = whole ? Listing::whole : Listing::changes;
+  forgetGone();
+  if (whole)
+    for (auto& [id, known] : numbers_)  // one that a whole list lacks has left
+      if (known.goneAt == 0) known.goneAt = loop_.now();
   for (const Listed& one : entries) {
+    Known& known = numberOf(one.id);
+    if (one.entry.standing != Standing::gone) known.goneAt = 0;
+    else if (known.goneAt == 0) known.goneAt = loop_.now();
     news.entries.push_back(one.entry);
-    news.entries.back().cache = numberOf(one.id);
+    news.entries.back().cache = known.number;
     caches_->list(news.entries.back(), one.id, one.at);
   }
   listed_ |= whole;
--- a/src/exchange/exchange.hpp
+++ b/src/exchange/exchange.hpp
@@ -66,6 +66,7 @@
   virtual void giveUp(LegKey key, const Ask& ask, std::uint32_t cache) = 0;
   virtual void probe(std::uint32_t cache) = 0;
   virtual void list(const ListEntry& entry, const std::string& id, const loop::Address& at) = 0;
+  virtual void forget(std::uint32_t cache) = 0;  // it left long ago
 
  protected:
   ~CacheSide() = default;
@@ -91,6 +92,7 @@
   // from the clients' side
   std::uint32_t pullCame(Ask ask, Asker& asker);  // the answer may come from within
   void clientLeft(std::uint32_t pull);
+  bool isOpen(std::string_view id) const;  // a pull of that id is owed its answer
 
   // from the caches' side
   void answerBegun(LegKey key, const Word& word, std::size_t length);
@@ -110,6 +112,7 @@
     std::uint64_t via = 0;
     Ms sentAt = 0;
     bool out = true;
+    std::uint64_t timer = 0;  // of its patience
     std::string bytes;
   };
   struct Pull {
@@ -135,7 +138,12 @@
   Leg* legOut(LegKey key);
   void endLeg(LegKey key, Ending ending, const Word& word = {}, int fellWith = 0);
   void count(Ending ending);
-  std::uint32_t numberOf(const std::string& machine);
+  struct Known {
+    std::uint32_t number = 0;
+    Ms goneAt = 0;  // 0: listed
+  };
+  Known& numberOf(const std::string& machine);
+  void forgetGone();
 
   loop::Loop& loop_;
   Router router_;
@@ -146,7 +154,7 @@
   std::deque<Event> untold_;                      // emptied before the outermost call returns
   std::vector<std::uint32_t> ended_;              // the same: pulls that may now be forgotten
   std::map<std::uint32_t, Pull> pulls_;           // emptied when a pull has its answer and its last leg is in
-  std::map<std::string, std::uint32_t> numbers_;  // machines: as many as were ever listed
+  std::map<std::string, Known> numbers_;  // machines, by id; emptied by news, some time after they have gone
 };
 
 }  // namespace dunlinwick::exchange
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -37,8 +37,7 @@
   constexpr Ms tooShort = 10;  // below, the way there outweighs the sending
   if (own < tooShort) return;
   double stretch = std::max(1.0, took / (own * usual));
-  r.fits = carries(r, now);
-  r.learntAt = now;
+  r.fits = carries(r, now), r.learntAt = now;
   double step = std::clamp(0.05 * stretch, 0.1, 0.3);  // the plainer the sign, the larger the step
   if (stretch > 1.5) r.fits += step * (std::min(held / stretch, r.fits) - r.fits);
   if (stretch < 1.25) r.fits = std::max(r.fits, std::min(held, 1.05 * r.fits));
@@ -115,6 +114,7 @@
       for (auto& [id, m] : machines) m.standing = Standing::gone;  // one that a full list lacks has left
     for (const ListEntry& e : news.entries) takeEntry(e);
     stores.clear(), parents.clear(), origin = nullptr;
+    std::erase_if(machines, [&](auto& one) { return left(one.second); });
     if (!linkTold) link.nominal = 0;
     for (auto& [id, m] : machines) {
       if (m.standing == Standing::gone) continue;
@@ -127,6 +127,20 @@
     if (link.fits <= 0) link.fits = link.nominal;
   }
 
+  // Gone, and nothing sent in the last minute was answered there: it is forgotten, unless a pull still points
+  // to it. Harm: one listed again later is as new to this front.
+  bool left(const Machine& m) {
+    if (m.standing != Standing::gone || now - m.lastGood < 60 * second) return false;
+    for (auto& [id, p] : pulls)
+      if (p.lastAt == &m || p.hasFailed(&m) || std::any_of(p.legs.begin(), p.legs.end(), [&](const Leg& l) {
+            return l.at == &m || l.source == &m;
+          }))
+        return false;
+    for (Memory& x : memories)
+      if (x.lastAt == &m) x.lastAt = nullptr;
+    return true;
+  }
+
   void takeEntry(const ListEntry& e) {
     Machine& m = machines[e.cache];
     Ms before = m.startedAt;
@@ -138,9 +152,7 @@
              : e.zone == zone       ? Role::store
                                     : Role::foreign;
     if (m.startedAt > before) {  // a new start: what was known of the old process is void
-      m.strikes = 0;
-      m.aside = m.trialOut = false;
-      m.room = {};
+      m.strikes = 0, m.aside = m.trialOut = false, m.room = {};
     }
     // Weights absent: a cache is held to carry four transfers, a small machine's worth, a source ample;
     // answers correct both. Until they prove more, cold budgets go by the four.
@@ -182,6 +194,7 @@
   // ---- memory: rates, omega, ranks (the design's ordinary path)
 
   static constexpr Ms countAgeing = 30 * second;  // long beside any idle window, short beside a fashion
+  static constexpr Ms longestOmega = 4 * countAgeing;
 
   Memory* recall(std::uint64_t object, int part) {
     constexpr std::size_t mostMemories = 1 << 16;  // some minutes of a busy front's different parts
@@ -189,14 +202,15 @@
     auto found = memoryAt.find(key);
     if (found != memoryAt.end()) {
       memories.splice(memories.end(), memories, found->second);
-      return &*found->second;
+      return found->second->usedAt = now, &*found->second;
     }
-    if (memories.size() >= mostMemories && memories.front().pins == 0) {
+    // Beyond the longest omega, and with its count aged away, it says nothing more.
+    auto old = [&](const Memory& x) { return memories.size() >= mostMemories || x.usedAt < now - longestOmega; };
+    while (!memories.empty() && memories.front().pins == 0 && old(memories.front())) {
       memoryAt.erase(memories.front().key);
       memories.pop_front();
     }
-    memories.push_back({});
-    memories.back().key = key;
+    memories.push_back({key, now});
     memoryAt[key] = std::prev(memories.end());
     return &memories.back();
   }
@@ -212,7 +226,7 @@
     if (leg.at->startedAt > 0 && now - leg.at->startedAt < coldStore.lasts + p.gap) return;
     if (hit && p.gap > w.omega) w.omega *= 1 + step;
     if (!hit && p.gap < w.omega) w.omega *= 1 - step;
-    Ms most = w.freshFor > 0 ? w.freshFor : 4 * countAgeing;
+    Ms most = w.freshFor > 0 ? w.freshFor : longestOmega;
     w.omega = std::clamp(w.omega, second / 2, most);
   }
 
@@ -226,9 +240,8 @@
 
   void takePurge(const Purged& e) {
     std::uint64_t key = e.wholeGroup ? ~static_cast<std::uint64_t>(e.group) : e.object;
-    Ms at = now - e.ago;
     Ms& known = purges.try_emplace(key, longAgo).first->second;
-    known = std::max(known, at);
+    known = std::max(known, now - e.ago);
     std::erase_if(purges, [&](auto& one) { return one.second < now - purgeKept; });
   }
 
@@ -313,13 +326,11 @@
   static constexpr int strikesOut = 2;  // one failure may be chance, two in a row are not
   void strike(Machine& m, int by = 1) {
     constexpr Ms firstPause = second / 4, longestPause = 4 * second;  // short beside the list's own delay
-    m.strikes += by;
-    m.answers = 0, m.trialOut = false;
+    m.strikes += by, m.answers = 0, m.trialOut = false;
     if (m.aside ? now < m.asideUntil : m.strikes < strikesOut) return;
     m.pause = m.aside ? std::min(2 * m.pause, longestPause) : firstPause;
     if (!m.aside) say("set aside", m);
-    m.aside = true;
-    m.asideUntil = now + m.pause;
+    m.aside = true, m.asideUntil = now + m.pause;
     if (may.probe) act(WakeMe{m.asideUntil, wakeMachine << 56 | m.cache});
   }
 
@@ -357,11 +368,7 @@
     return t.mean + (t.out - t.mean) * (1 - std::exp((t.at - now) / std::min(each * sharing, most)));
   }
   double together(const Tally& t, int sharing) const { return t.out + (sharing - 1) * meanOf(t, sharing); }
-  void count(Tally& t, int sharing, double out) {
-    t.mean = meanOf(t, sharing);
-    t.at = now;
-    t.out = out;
-  }
+  void count(Tally& t, int sharing, double out) { t = {out, meanOf(t, sharing), now}; }
   void count(Machine& m, double by) { count(m.legs, sharers(m), m.legs.out + by); }
 
   // Bounded load: the first in hash order that is at most a quarter over the mean level, or at one where most
@@ -492,8 +499,7 @@
     ++m.pins, ++p.whole->pins;
     p.gap = m.lastPull > longAgo ? now - m.lastPull : 0;
     m.count = m.count * (m.lastPull > longAgo ? std::exp(-p.gap / countAgeing) : 0) + 1;
-    m.lastPull = now;
-    p.lastAt = m.lastAt;
+    m.lastPull = now, p.lastAt = m.lastAt;
     if (e.sizeKb > 0 && streamKbPerMs > 0) {
       p.sending = e.sizeKb / streamKbPerMs;
       w.meanSending += (p.sending - w.meanSending) * (w.sendingSeen ? 0.01 : 1);
@@ -511,10 +517,7 @@
   }
 
   void send(Pull& p, Machine& at, Machine* source) {
-    Leg leg;
-    leg.at = &at;
-    leg.source = source == &at ? nullptr : source;
-    leg.sentAt = now;
+    Leg leg{&at, source == &at ? nullptr : source, now};
     // A fill passes on what it gets: held up by a full link or a crowded source it takes little of the cache.
     if (p.knownMiss && leg.source) leg.load = 1 / std::max({1.0, linkLevel(), leg.source->pace});
     count(at, leg.load);
@@ -529,12 +532,7 @@
       charge(*leg.source, p.ware->meanSending);
       if (leg.source->aside) leg.source->trialOut = true;
     }
-    SendLeg a;
-    a.pull = p.pull;
-    a.cache = at.cache;
-    a.source = source ? source->cache : at.cache;
-    a.join = may.join;
-    a.renew = p.ware->freshFor > 0;
+    SendLeg a{p.pull, at.cache, source ? source->cache : at.cache, may.join, p.ware->freshFor > 0};
     a.heldOnly = p.spared = leg.source && leg.source->role == Role::parent && sparesOrigin(p);
     a.rank = p.rank;
     a.oldest = oldest(p);
@@ -726,8 +724,7 @@
 std::vector<Action> Router::handle(Ms now, const Event& event) {
   std::vector<Action> todo;
   Mind& d = *mind_;
-  d.now = now;
-  d.todo = &todo;
+  d.now = now, d.todo = &todo;
   if (auto* list = std::get_if<ListNews>(&event)) d.takeList(*list);
   if (auto* came = std::get_if<PullCame>(&event)) d.arrive(*came);
   if (auto* ended = std::get_if<LegEnded>(&event)) d.legEnded(*ended);
--- a/src/loop/buffer.hpp
+++ b/src/loop/buffer.hpp
@@ -29,7 +29,7 @@
     from_ += n;
     if (from_ < to_) return;
     from_ = to_ = 0;
-    constexpr std::size_t small = 1 << 16;  // a thousand of these are 64 MB: a third of the least memory
+    constexpr std::size_t small = 1 << 14;  // one read; 256 of these are 4 MB of the 32 that go with them
     if (store_.size() > small) std::vector<char>().swap(store_);
   }
   void release() { *this = Buffer(); }
--- a/src/loop/loop.hpp
+++ b/src/loop/loop.hpp
@@ -23,6 +23,7 @@
   Loop();
   // Unix time in milliseconds as at the start, moved on by the steady clock: it never goes back.
   Ms now() const;
+  void skip(Ms by) { offset_ += by; }  // for tests: so much time has passed
 
   // Again: changes the events. A patient one is looked at every few milliseconds only.
   void watch(int fd, Handler& handler, short events, bool patient = false);
--- a/src/records.hpp
+++ b/src/records.hpp
@@ -30,7 +30,8 @@
   Ms at = longAgo;
 };
 
-// A machine of the list. Machines are kept for the life of the front: as many as were ever listed.
+// A machine of the list. One that is gone is forgotten with the first list news a minute after its last good
+// answer, when no pull points to it.
 struct Machine : ListEntry {
   Role role = Role::foreign;
   Tally legs;  // of ours that are out there, or name it as their source
@@ -48,9 +49,10 @@
   Ms shareAt = longAgo, cutAt = longAgo;
 };
 
-// What is known of one part of one object; the oldest is dropped when the table is full.
+// What is known of one part of one object; the oldest is dropped when the table is full, or by its age.
 struct Memory {
   std::uint64_t key = 0;
+  Ms usedAt = longAgo;
   Ms lastPull = longAgo;
   double count = 0;           // pulls, ageing
   Machine* lastAt = nullptr;  // the cache that finished it last
--- a/tests/front_test.cpp
+++ b/tests/front_test.cpp
@@ -63,6 +63,8 @@
   void giveUp(LegKey key, const Ask&, std::uint32_t) override { givenUp.push_back(key); }
   void probe(std::uint32_t) override {}
   void list(const ListEntry&, const std::string&, const loop::Address&) override {}
+  std::vector<std::uint32_t> forgotten;
+  void forget(std::uint32_t cache) override { forgotten.push_back(cache); }
 };
 
 exchange::Word said(Ending ending, Remark remark = Remark::none) {
@@ -198,6 +200,25 @@
   }
 }
 
+// A machine keeps its number while it is listed; some minutes after it has left, told so or lacking from a whole
+// list, nothing of it is kept.
+void machinesThatLeftAreForgotten() {
+  for (bool told : {true, false}) {
+    Desk d(kit::sheet(), 2);
+    auto two = machines({{"s-0", {}}, {"s-1", {}}});
+    if (told) two[1].entry.standing = Standing::gone;
+    else two.pop_back();
+    d.exchange.listCame(!told, two);
+    d.loop.skip(100000);
+    two.resize(1);
+    d.exchange.listCame(false, two);
+    assert(d.caches.forgotten.empty());
+    d.loop.skip(100000);
+    d.exchange.listCame(false, two);
+    assert(d.caches.forgotten.size() == (told ? 1u : 2u));  // the origin was not on the second list either
+  }
+}
+
 // ---- connections
 
 void aMessageHalfWrittenIsToldApart() {
@@ -271,6 +292,7 @@
     void giveUp(LegKey, const Ask&, std::uint32_t) override {}
     void probe(std::uint32_t) override {}
     void list(const ListEntry& e, const std::string&, const loop::Address&) override { number = e.cache; }
+    void forget(std::uint32_t) override {}
   } find;
   r.exchange.meet(find);
   r.exchange.listCame(true, machines({{"s-1", far.at}}));
@@ -411,6 +433,27 @@
   }
 }
 
+// A new machine at the address of one that is still listed: what is meant for the old one does not reach it.
+void nothingReachesAnotherUnderAnOldId() {
+  FarListener far;
+  Road r(machines({{"s-1", far.at}}));
+  r.exchange.pullCame(askFor(), r.client);
+  Far old = far.next(r.loop);
+  until(r.loop, [&] { return old.hears("want "); });
+  auto fresh = machines({{"s-2", far.at}});
+  fresh[0].entry.standing = Standing::draining;  // takes nothing itself yet
+  r.exchange.listCame(false, fresh);
+  assert(!(old.read(), old.over));
+  fresh[0].entry.standing = Standing::ready;
+  fresh[0].entry.weight = 1e-9;  // nobody's home
+  r.exchange.listCame(false, fresh);
+  until(r.loop, [&] { return old.read(), old.over; });
+  std::uint64_t before = r.exchange.counters.neverRan;
+  Asked other;
+  r.exchange.pullCame(askFor("00000000000000aa"), other);
+  assert(r.exchange.counters.neverRan > before);  // at once, with nothing written
+}
+
 void connectionsToCachesAreBudgeted() {
   FarListener far;
   sheet::RoadTerms one = terms();
@@ -488,6 +531,11 @@
          more + "\r\n";
 }
 
+std::string getAs(int which) {  // under an id of its own
+  std::string text = get();
+  return text.replace(text.find(id), id.size(), "00000000000000f" + std::to_string(which));
+}
+
 void clientsAreAnswered() {
   Counter c;
   Far f = c.come();
@@ -539,8 +587,15 @@
   good.say(get());
   LegKey key = c.leg(0);
   const std::string head = "GET /ops/video/7f3a HTTP/1.1\r\n";
+  const std::string own = "X-Request-Id: 00000000000000aa\r\n";
   for (const Case& one :
        {Case{"\x16\x03\x01", "400"},
+        {get("", "/ops/video/0000"), "409"},  // the id of the open one
+        {head + own + own + "X-Timeout-Ms: 9\r\nX-Group: 1\r\n\r\n", "400"},
+        {head + own + "X-Timeout-Ms: 1e3\r\nX-Group: 1\r\n\r\n", "400"},
+        {head + own + "X-Timeout-Ms: -0\r\nX-Group: 1\r\n\r\n", "400"},
+        {head + own + "X-Timeout-Ms: 9\r\nX-Group: 1.5\r\n\r\n", "400"},
+        {head + own + "X-Timeout-Ms: 9\r\nX-Group: nan\r\n\r\n", "400"},
         {get("", "/odd"), "404"},
         {get("", "/ops/video"), "404"},
         {get("", "/ops/odd/7f3a"), "404"},
@@ -564,11 +619,26 @@
     assert(f.hears("Connection: close\r\n"));
     until(c.d.loop, [&] { return f.read(), f.over; });
   }
-  assert(c.d.exchange.counters.badRequests == 18 && c.d.caches.sent.size() == 1);
+  assert(c.d.exchange.counters.badRequests == 24 && c.d.caches.sent.size() == 1);
   c.finish(key, said(Ending::finished), "still here");
   c.hear(good, "still here");
 }
 
+// Who says nothing, or half a request, is told so by a word or a close in 3 s, and others notice nothing; an
+// idle client that has been served keeps its connection.
+void whoSaysNothingGoes() {
+  Counter c;
+  Far served = c.come(), silent = c.come(), half = c.come();
+  served.say("GET /alive HTTP/1.1\r\n\r\n");
+  c.hear(served, "HTTP/1.1 200");
+  half.say("GET /alive HTTP/1.1\r\nA: ");
+  for (int i = 0; i < 3; ++i) c.d.loop.turn(1);
+  c.d.loop.skip(2600);
+  c.hear(half, "HTTP/1.1 408");
+  until(c.d.loop, [&] { return silent.read(), silent.over; });
+  assert(silent.got.empty() && !(served.read(), served.over));
+}
+
 void whoClosesIsOwedNothing() {
   for (bool resets : {false, true}) {
     Counter c;
@@ -599,20 +669,20 @@
 void idleClientsMakeRoom() {
   Counter c(3);
   Far one = c.come(), two = c.come();
-  one.say(get());
+  one.say(getAs(1));
   c.leg(0);
   Far three = c.come(), four = c.come();  // two has been idle longest
   until(c.d.loop, [&] { return two.read(), two.over; });
-  four.say(get());
+  four.say(getAs(2));
   c.leg(1);
   assert(!(one.read(), one.over));
   // With all places taken a newcomer waits, until one of them has its answer.
-  three.say(get());
+  three.say(getAs(3));
   c.leg(2);
   Far five = c.come(), six = c.come();
-  five.say(get());
+  five.say(getAs(4));
   c.leg(3);
-  six.say(get());
+  six.say(getAs(5));
   for (int i = 0; i < 20; ++i) c.d.loop.turn(1);
   assert(c.d.caches.sent.size() == 4);
   c.finish(c.leg(0), said(Ending::finished));
@@ -786,6 +856,7 @@
                  {"who leaves is owed nothing", whoLeavesIsOwedNothing},
                  {"overdue pulls are answered", overduePullsAreAnswered},
                  {"streams are passed on as they come", streamsArePassedOnAsTheyCome},
+                 {"machines that left are forgotten", machinesThatLeftAreForgotten},
                  {"a message half written is told apart", aMessageHalfWrittenIsToldApart},
                  {"answers come in any order and pieces", answersComeInAnyOrderAndPieces},
                  {"legs of one pull are kept apart", legsOfOnePullAreKeptApart},
@@ -794,11 +865,13 @@
                  {"a silent machine holds up nobody", aSilentMachineHoldsUpNobody},
                  {"idle connections are left in time", idleConnectionsAreLeftInTime},
                  {"probes end one way or another", probesEndOneWayOrAnother},
+                 {"nothing reaches another under an old id", nothingReachesAnotherUnderAnOldId},
                  {"connections to caches are budgeted", connectionsToCachesAreBudgeted},
                  {"the board is followed without gap or repeat", theBoardIsFollowedWithoutGapOrRepeat},
                  {"clients are answered", clientsAreAnswered},
                  {"big answers wait for slow clients", bigAnswersWaitForSlowClients},
                  {"bad requests are refused alone", badRequestsAreRefusedAlone},
+                 {"who says nothing goes", whoSaysNothingGoes},
                  {"who closes is owed nothing", whoClosesIsOwedNothing},
                  {"a broken stream can be told", aBrokenStreamCanBeTold},
                  {"idle clients make room", idleClientsMakeRoom},
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -246,6 +246,28 @@
   }
 }
 
+// What is gone for long is forgotten, so that new ids all day fill no table: listed again it is a new machine.
+// Not while a pull points to it.
+static void machinesThatLeftAreForgotten() {
+  for (bool pointedAt : {false, true}) {
+    Front f;
+    SendLeg held = f.pull(1);
+    std::uint32_t bad = held.cache;
+    if (!pointedAt) f.finish(held);
+    for (int i = 0; i < 2; ++i) {
+      f.end(f.pull(1), Ending::error);
+      f.end(f.leg(), Ending::finished, Remark::hit, 1);
+    }
+    auto listed = [&](Standing standing) {
+      f.now += 61000;
+      f.tell(ListNews{Listing::changes, {entry(bad, storeKind, 1, standing)}});
+    };
+    listed(Standing::gone);
+    listed(Standing::ready);
+    assert((f.pull(1).cache == bad) == !pointedAt);  // else it is still set aside
+  }
+}
+
 static void failingCachesRestAndComeBack() {
   for (bool probes : {true, false}) {
     StoreSheet s = sheet();
@@ -551,6 +573,7 @@
                  {"ranks follow held chance", ranksFollowHeldChance},
                  {"omega learns from warm caches only", omegaLearnsFromWarmCachesOnly},
                  {"one break is one sign", oneBreakIsOneSign},
+                 {"machines that left are forgotten", machinesThatLeftAreForgotten},
                  {"failing caches rest and come back", failingCachesRestAndComeBack},
                  {"a crowded link looks first", crowdedLinkLooksFirst},
                  {"full fill places are no fault", fullFillPlacesAreNoFault},
