A connection that answers no call ends; at most eight legs on one while descriptors last

Ruled out: the machine (probes), the fronts' CPU (0.12 s a second), descriptors (193 of 1,024). A trace of legs out after 450 ms showed the two kinds apart: bursts with one connection, and single late answers. Lines: Caches::lineFor filled one connection up to 100 legs; Line had no look at itself before a leg was given up at its expiry. Now a connection with something open and no byte for two looks of 75 ms is called (there), and ends as silent after two more without an answer; at most eight legs share a connection while there are descriptors for more. Both tests fail without the change.

--- a/src/caches/caches.cpp
+++ b/src/caches/caches.cpp
@@ -10,6 +10,8 @@
 using exchange::LegKey;
 using loop::Parting;
 
+static const std::string callId = "call";  // no pull's id, and no probe's
+
 // A connection to one machine. Answers come in any order; a late one, for what was given up, is dropped.
 class Caches::Line final : public loop::Connection::Owner {
  public:
@@ -24,6 +26,7 @@
 
   std::uint64_t number() const { return number_; }
   bool idle() const { return open_.empty(); }
+  std::size_t open() const { return open_.size(); }
   Ms usedAt() const { return usedAt_; }
 
   // The peer closes what has been idle for the stated time. A request could cross that close and be taken for
@@ -35,12 +38,13 @@
   }
 
   void leg(LegKey key, const std::string& id, std::string bytes) {
-    open_[id] = {key, false, connection_.send(std::move(bytes)), all_.loop_.now()};
+    open_[id] = {key, What::leg, connection_.send(std::move(bytes)), all_.loop_.now()};
     usedAt_ = all_.loop_.now();
+    if (look_ == 0) lookAgain(0);
   }
   void probe(const std::string& id) {
     Ms now = all_.loop_.now();
-    open_[id] = {{}, true, connection_.send(probeLine(id)), now};
+    open_[id] = {{}, What::probe, connection_.send(probeLine(id)), now};
     usedAt_ = now;
     // No time is stated for a probe; what a connection is given to come up does for a small answer too.
     all_.loop_.at(now + all_.terms_.connectWithin, [&all = all_, cache = cache_, number = number_, id] {
@@ -52,7 +56,7 @@
 
   bool has(LegKey key, const std::string& id) const {
     auto at = open_.find(id);
-    return at != open_.end() && !at->second.probe && at->second.key.pull == key.pull &&
+    return at != open_.end() && at->second.what == What::leg && at->second.key.pull == key.pull &&
            at->second.key.leg == key.leg;
   }
   void giveUp(const std::string& id) {
@@ -72,14 +76,16 @@
     heardAt_ = usedAt_ = all_.loop_.now();
     while (!connection_.isOver() && readOne()) {
     }
-    if (look_ == 0 && inPart()) lookAgain(false);
+    if (look_ == 0 && inPart()) lookAgain(0);
   }
 
   void ended(Parting how) override {
-    if (how == Parting::malformed || how == Parting::stalled) {
-      ++(how == Parting::stalled ? all_.exchange_.counters.stalled : all_.exchange_.counters.badLines);
-      log::say("%s: answer %s; its connection ends", all_.machines_[cache_].id.c_str(), loop::word(how));
-    }
+    exchange::Counters& counters = all_.exchange_.counters;
+    counters.badLines += how == Parting::malformed;
+    counters.stalled += how == Parting::stalled;
+    counters.silent += how == Parting::silent;
+    if (how == Parting::malformed || how == Parting::stalled || how == Parting::silent)
+      log::say("%s: %s; its connection ends, %zu open", all_.machines_[cache_].id.c_str(), loop::word(how), open_.size());
     struct Lost {
       Open open;
       bool whole;
@@ -96,30 +102,50 @@
     all.drop(cache, number_);  // this object lives until the turn is over
     int fell = 0;
     for (auto& [open, whole] : lost)
-      if (open.probe) all.exchange_.probeEnded(cache, false, all.loop_.now() - open.sentAt, {});
-      else all.exchange_.legLost(open.key, how, whole, fell++);
+      if (open.what == What::probe)
+        all.exchange_.probeEnded(cache, false, all.loop_.now() - open.sentAt, {});
+      else if (open.what == What::leg) all.exchange_.legLost(open.key, how, whole, fell++);
   }
 
  private:
+  enum class What { leg, probe, call };  // a call asks of the connection alone whether it carries
   struct Open {
     LegKey key;
-    bool probe = false;
+    What what = What::leg;
     std::uint64_t mark = 0;
     Ms sentAt = 0;
   };
 
-  // Guards against an answer that stops short or a line that never ends: nothing behind it would be read.
-  // Twice, so that a standstill of this process with bytes waiting is not taken for one of the peer's. Harm: a
-  // machine that pauses in mid-answer for as long loses what is open here.
-  void lookAgain(bool quiet) {
-    constexpr Ms half = 75;  // twice that is beyond a busy machine's standstills (40 ms), below any agreed time
-    look_ = all_.loop_.at(all_.loop_.now() + half, [this, quiet, heard = heardAt_] {
+  // Guards against a connection that carries nothing more though it stays open: an answer that stops short, a
+  // line that never ends, answers that don't come. In two looks without a byte an answer in part is given up;
+  // where none has begun the other side is called, which answers such a call at once, and has as long again.
+  // In looks, so that a standstill of this process with bytes waiting is not taken for the peer's. Harm: a
+  // machine that pauses for longer loses what is open here.
+  void lookAgain(int quiet) {
+    constexpr Ms look = 75;  // two are beyond a busy machine's standstills (40 ms); four, below an agreed time
+    look_ = all_.loop_.at(all_.loop_.now() + look, [this, quiet, heard = heardAt_] {
       look_ = 0;
-      if (!inPart() || connection_.isOver()) return;
-      if (quiet && heard == heardAt_) return connection_.endAs(Parting::stalled);
-      lookAgain(heard == heardAt_);
+      if (connection_.isOver() || (!inPart() && open_.empty())) return;
+      int now = heard == heardAt_ && connection_.drainedOut() ? quiet + 1 : 0;
+      bool called = open_.count(callId) != 0;
+      if (now >= 2 && (inPart() || now >= 4)) {
+        if (inPart()) return connection_.endAs(Parting::stalled);
+        if (called) return connection_.endAs(Parting::silent);
+      }
+      if (now >= 2 && !called && all_.terms_.mayProbe && waitedFor() >= 2 * look) {
+        open_[callId] = {{}, What::call, connection_.send(callLine(callId)), all_.loop_.now()};
+        ++all_.exchange_.counters.calls;
+        now = 2;
+      }
+      lookAgain(now);
     });
   }
+  // How long the oldest that is open here has been.
+  Ms waitedFor() const {
+    Ms longest = 0;
+    for (auto& [id, open] : open_) longest = std::max(longest, all_.loop_.now() - open.sentAt);
+    return longest;
+  }
   bool inPart() const { return reading_ || connection_.in.size() > 0; }
 
   // Nothing heard since long before the oldest that is open was sent: nothing new goes here meanwhile. Harm:
@@ -158,14 +184,14 @@
       answer_ = std::move(*answer);
       left_ = answer_.length;
       reading_ = true;
-      if (Open* open = theirs(); open && !open->probe)
+      if (Open* open = theirs(); open && open->what == What::leg)
         all_.exchange_.answerBegun(open->key, answer_.word, answer_.length);
       return true;
     }
     if (left_ > 0) {
       std::string_view part = bytes.substr(0, left_);
       if (part.empty()) return false;
-      if (Open* open = theirs(); open && !open->probe) all_.exchange_.answerBytes(open->key, part);
+      if (Open* open = theirs(); open && open->what == What::leg) all_.exchange_.answerBytes(open->key, part);
       left_ -= part.size();
       connection_.in.consume(part.size());
       return true;
@@ -181,7 +207,7 @@
   // What the answer that is being read belongs to; null if it was given up.
   Open* theirs() {
     auto at = open_.find(answer_.id);
-    return at == open_.end() || at->second.probe != answer_.probe ? nullptr : &at->second;
+    return at == open_.end() || (at->second.what != What::leg) != answer_.probe ? nullptr : &at->second;
   }
 
   void answered() {
@@ -192,7 +218,8 @@
     }
     Open open = *found;
     open_.erase(answer_.id);
-    if (open.probe)
+    if (open.what == What::call) return;
+    if (open.what == What::probe)
       all_.exchange_.probeEnded(cache_, answer_.well, all_.loop_.now() - open.sentAt, answer_.word.report);
     else all_.exchange_.answerWhole(open.key, answer_.word);
   }
@@ -202,7 +229,7 @@
   std::uint64_t number_;
   bool stale_ = false, reading_ = false;
   Ms heardAt_, usedAt_;
-  std::uint64_t look_ = 0;  // timer, while an answer has come in part
+  std::uint64_t look_ = 0;  // timer, while something is open or has come in part
   Answer answer_;  // the one being read, and how many of its bytes are still to come
   std::size_t left_ = 0;
   std::map<std::string, Open> open_;  // emptied by answers, giving up, overdue probes and the end
@@ -239,9 +266,16 @@
 
 Caches::Line* Caches::lineFor(Machine& m, std::uint32_t cache, const std::string& id,
                               const std::vector<std::uint64_t>& avoid) {
-  for (auto& [number, line] : m.lines)
-    if (line->fit(id) && std::find(avoid.begin(), avoid.end(), number) == avoid.end()) return line.get();
-  if (count_ >= most_ && !dropIdle()) return nullptr;
+  // What is open on a connection that carries nothing more is lost with it: so many at most, while there are
+  // descriptors for more. On a busy day a cache has a hundred out from one front, which ten connections carry.
+  constexpr std::size_t few = 8;
+  Line* least = nullptr;
+  for (auto& [number, line] : m.lines) {
+    if (!line->fit(id) || std::find(avoid.begin(), avoid.end(), number) != avoid.end()) continue;
+    if (line->open() < few) return line.get();
+    if (!least || line->open() < least->open()) least = line.get();
+  }
+  if (count_ >= most_ && (least || !dropIdle())) return least;
   ++count_;
   ++exchange_.counters.cacheConnections;
   std::uint64_t number = ++last_;
--- a/src/caches/lines.cpp
+++ b/src/caches/lines.cpp
@@ -93,6 +93,7 @@
 
 std::string neverMindLine(std::string_view id) { return "never_mind " + std::string(id) + "\r\n"; }
 std::string probeLine(std::string_view id) { return "busy " + std::string(id) + "\r\n"; }
+std::string callLine(std::string_view id) { return "there " + std::string(id) + "\r\n"; }
 
 std::optional<Answer> readAnswer(std::string_view line, const std::vector<std::string>& reported) {
   struct Meaning {
--- a/src/caches/lines.hpp
+++ b/src/caches/lines.hpp
@@ -10,6 +10,7 @@
 std::string wantLine(const exchange::Ask& ask, const SendLeg& how, std::string_view source);
 std::string neverMindLine(std::string_view id);
 std::string probeLine(std::string_view id);
+std::string callLine(std::string_view id);  // asks for no report
 
 struct Answer {
   std::string id;
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -87,10 +87,10 @@
   add("legs_finished", c.legsFinished), add("misses", c.misses), add("full", c.full);
   add("errors", c.errors), add("timed_out", c.timedOut), add("never_ran", c.neverRan);
   add("broken", c.broken), add("cancelled", c.cancelled), add("moot", c.moot), add("late", c.lateAnswers);
-  add("probes", c.probes), add("probes_answered", c.probesAnswered);
+  add("probes", c.probes), add("probes_answered", c.probesAnswered), add("calls", c.calls);
   add("client_connections", c.clientConnections), add("cache_connections", c.cacheConnections);
   add("reloads", c.reloads), add("board_connections", c.boardConnections), add("list_news", c.listNews), add("purges", c.purges);
-  add("bad_requests", c.badRequests), add("bad_lines", c.badLines), add("stalled", c.stalled), add("bad_notices", c.badNotices);
+  add("bad_requests", c.badRequests), add("bad_lines", c.badLines), add("stalled", c.stalled), add("silent", c.silent), add("bad_notices", c.badNotices);
   add("short_of_descriptors", c.shortOfDescriptors);
   return line;
 }
--- a/src/sheet/sheet.cpp
+++ b/src/sheet/sheet.cpp
@@ -160,6 +160,7 @@
   t.connectWithin = f.number("limits.connectTimeout");
   t.idleFor = f.number("limits.connIdle");
   t.legsAtOnce = f.whole("limits.streamsPerConn", 1, 1e6);
+  t.mayProbe = f.flag("limits.probing", false);
   return t;
 }
 
--- a/src/sheet/sheet.hpp
+++ b/src/sheet/sheet.hpp
@@ -19,6 +19,7 @@
   std::vector<std::string> offerings, zones, kinds, reported;
   Ms connectWithin = 0, idleFor = 0;
   int legsAtOnce = 1;  // on one connection
+  bool mayProbe = false;
 };
 
 // Unknown keys are skipped; a needed one that is missing or unreadable throws SheetFault, naming it.
--- a/tests/front_test.cpp
+++ b/tests/front_test.cpp
@@ -375,6 +375,46 @@
   }
 }
 
+// A connection that carries nothing more, though it stays open: called, it does not answer, and what is open on
+// it is asked again on another, minutes before its time is up. One that answers the call is waited for.
+void connectionsThatCarryNothingEnd() {
+  for (bool carries : {false, true}) {
+    FarListener far;
+    sheet::RoadTerms t = terms();
+    t.mayProbe = true;
+    Road r(machines({{"s-1", far.at}}), t);
+    std::vector<Asked> clients(3);
+    for (std::size_t i = 0; i < 3; ++i)
+      r.exchange.pullCame(askFor("00000000000000a" + std::to_string(i)), clients[i]);
+    Far peer = far.next(r.loop);
+    until(r.loop, [&] { return peer.hears("there call\r\n"); });
+    if (carries) {
+      for (int i = 0; i < 3; ++i) {
+        peer.got.clear();
+        peer.say("call PONG - 0\r\n\r\n");
+        until(r.loop, [&] { return peer.hears("there call\r\n"); });
+      }
+    } else {
+      Far again = far.next(r.loop);
+      until(r.loop, [&] { return again.hears("want 00000000000000a1 "); });
+    }
+    assert(r.exchange.counters.silent == (carries ? 0u : 1u) && (peer.read(), peer.over) == !carries);
+  }
+}
+
+// Few legs share a connection while there are descriptors for more; then all share what there is.
+void legsAreSpreadOverConnections() {
+  FarListener far;
+  Road r(machines({{"s-1", far.at}}), terms(), 2);
+  std::vector<Asked> clients(20);
+  for (std::size_t i = 0; i < 20; ++i) {
+    r.exchange.pullCame(askFor("00000000000000" + std::to_string(10 + i)), clients[i]);
+    if (r.exchange.counters.legs <= 8) assert(r.exchange.counters.cacheConnections == 1);
+  }
+  assert(r.exchange.counters.cacheConnections == 2 && r.exchange.counters.legs > 16);
+  assert(r.exchange.counters.neverRan == 0);
+}
+
 void aSilentMachineHoldsUpNobody() {
   FarListener mute, good;
   Road r(machines({{"s-1", mute.at}, {"s-2", good.at}}));
@@ -862,6 +902,8 @@
                  {"legs of one pull are kept apart", legsOfOnePullAreKeptApart},
                  {"ends of connections end their legs", endsOfConnectionsEndTheirLegs},
                  {"what stops short holds up nobody", whatStopsShortHoldsUpNobody},
+                 {"connections that carry nothing end", connectionsThatCarryNothingEnd},
+                 {"legs are spread over connections", legsAreSpreadOverConnections},
                  {"a silent machine holds up nobody", aSilentMachineHoldsUpNobody},
                  {"idle connections are left in time", idleConnectionsAreLeftInTime},
                  {"probes end one way or another", probesEndOneWayOrAnother},
