Exclusive legs go only over a connection that has just shown that it carries

Ruled out: resets under legs that were running (a tenth), the origin, time-outs. Lines: Caches::send gave an exclusive leg to whatever connection was fit; once written it may have run, and the pull is abandoned. The module now asks for a proven connection (SendLeg::proven, exclusive pulls, where probes are allowed); the caches' side calls (there) unless it heard something there in the last 50 ms, and sends the leg with the answer. A connection that ends under the call has taken nothing: the leg moves to another, three times at most. Harm: one way there and back more. The test fails without the change.

--- a/src/caches/caches.cpp
+++ b/src/caches/caches.cpp
@@ -10,6 +10,15 @@
 using exchange::LegKey;
 using loop::Parting;
 
+// A leg that waits for its connection to show that it carries.
+struct Caches::Held {
+  LegKey key;
+  std::uint32_t cache = 0;
+  std::string id, bytes;
+  bool proven = false;
+  int moves = 0;  // connections that ended under it
+};
+
 static const std::string callId = "call";  // no pull's id, and no probe's
 
 // A connection to one machine. Answers come in any order; a late one, for what was given up, is dropped.
@@ -37,9 +46,14 @@
            (!idle() || all_.loop_.now() - usedAt_ < 0.9 * all_.terms_.idleFor);
   }
 
-  void leg(LegKey key, const std::string& id, std::string bytes) {
-    open_[id] = {key, What::leg, connection_.send(std::move(bytes)), all_.loop_.now()};
-    usedAt_ = all_.loop_.now();
+  void leg(Held what) {
+    constexpr Ms fresh = 50;  // heard that lately it has not lain idle; far below what resets idle connections
+    Ms now = all_.loop_.now();
+    bool waits = what.proven && !(carried_ && now - heardAt_ < fresh);
+    std::string id = what.id, bytes = waits ? std::string() : std::move(what.bytes);
+    open_[id] = {what.key, What::leg, waits ? 0 : connection_.send(std::move(bytes)), now};
+    if (waits) held_.push_back(std::move(what)), call();
+    usedAt_ = now;
     if (look_ == 0) lookAgain(0);
   }
   void probe(const std::string& id) {
@@ -64,6 +78,7 @@
     open_.erase(id);
     usedAt_ = all_.loop_.now();
     doubt(given.sentAt);
+    if (std::erase_if(held_, [&](const Held& one) { return one.id == id; }) > 0) return;  // it never left
     if (!connection_.takeBack(given.mark)) connection_.send(neverMindLine(id));
   }
 
@@ -74,6 +89,7 @@
 
   void came() override {
     heardAt_ = usedAt_ = all_.loop_.now();
+    carried_ = true;
     while (!connection_.isOver() && readOne()) {
     }
     if (look_ == 0 && inPart()) lookAgain(0);
@@ -91,16 +107,29 @@
       bool whole;
     };
     std::vector<Lost> lost;
-    for (auto& [id, open] : open_) lost.push_back({open, !connection_.unsent(open.mark)});
+    for (auto& [id, open] : open_)
+      lost.push_back({open, open.mark != 0 && !connection_.unsent(open.mark)});
     // The one whose answer was being read is told first: the others only fell with it.
     if (Open* culprit = reading_ ? theirs() : nullptr)
       std::stable_partition(lost.begin(), lost.end(),
                             [&](const Lost& one) { return one.open.mark == culprit->mark; });
+    // What waited here moves to another connection of its machine, unless that is not to be had: it never left.
+    constexpr int most = 3;
+    auto held = std::move(held_);
+    bool there = how != Parting::refused && how != Parting::neverUp && how != Parting::noDescriptor &&
+                 how != Parting::replaced;
+    std::erase_if(held, [&](const Held& one) { return !there || one.moves >= most; });
+    std::erase_if(lost, [&](const Lost& one) {
+      return std::any_of(held.begin(), held.end(), [&](const Held& h) {
+        return one.open.what == What::leg && h.key.pull == one.open.key.pull && h.key.leg == one.open.key.leg;
+      });
+    });
     open_.clear();
     Caches& all = all_;
     std::uint32_t cache = cache_;
     all.drop(cache, number_);  // this object lives until the turn is over
     int fell = 0;
+    for (Held& one : held) ++one.moves, all.place(std::move(one));
     for (auto& [open, whole] : lost)
       if (open.what == What::probe)
         all.exchange_.probeEnded(cache, false, all.loop_.now() - open.sentAt, {});
@@ -132,14 +161,22 @@
         if (inPart()) return connection_.endAs(Parting::stalled);
         if (called) return connection_.endAs(Parting::silent);
       }
-      if (now >= 2 && !called && all_.terms_.mayProbe && waitedFor() >= 2 * look) {
-        open_[callId] = {{}, What::call, connection_.send(callLine(callId)), all_.loop_.now()};
-        ++all_.exchange_.counters.calls;
-        now = 2;
-      }
+      if (now >= 2 && !called && all_.terms_.mayProbe && waitedFor() >= 2 * look) call(), now = 2;
       lookAgain(now);
     });
   }
+  void call() {
+    if (open_.count(callId) != 0) return;
+    open_[callId] = {{}, What::call, connection_.send(callLine(callId)), all_.loop_.now()};
+    ++all_.exchange_.counters.calls;
+  }
+  void calledBack() {
+    for (Held& one : std::exchange(held_, {})) {
+      auto at = open_.find(one.id);
+      if (at == open_.end()) continue;
+      at->second.mark = connection_.send(std::move(one.bytes));
+    }
+  }
   // How long the oldest that is open here has been.
   Ms waitedFor() const {
     Ms longest = 0;
@@ -218,7 +255,7 @@
     }
     Open open = *found;
     open_.erase(answer_.id);
-    if (open.what == What::call) return;
+    if (open.what == What::call) return calledBack();
     if (open.what == What::probe)
       all_.exchange_.probeEnded(cache_, answer_.well, all_.loop_.now() - open.sentAt, answer_.word.report);
     else all_.exchange_.answerWhole(open.key, answer_.word);
@@ -227,11 +264,12 @@
   Caches& all_;
   std::uint32_t cache_;
   std::uint64_t number_;
-  bool stale_ = false, reading_ = false;
+  bool stale_ = false, reading_ = false, carried_ = false;
   Ms heardAt_, usedAt_;
   std::uint64_t look_ = 0;  // timer, while something is open or has come in part
   Answer answer_;  // the one being read, and how many of its bytes are still to come
   std::size_t left_ = 0;
+  std::vector<Held> held_;            // emptied by the call's answer, giving up and the end
   std::map<std::string, Open> open_;  // emptied by answers, giving up, overdue probes and the end
   loop::Connection connection_;
 };
@@ -285,19 +323,21 @@
 std::uint64_t Caches::send(LegKey key, const Ask& ask, const SendLeg& how,
                            const std::vector<std::uint64_t>& avoid) {
   auto at = machines_.find(how.cache), source = machines_.find(how.source);
-  if (at != machines_.end() && at->second.supplanted) {
-    exchange_.legLost(key, Parting::replaced, false);
-    return 0;
-  }
-  Line* line = at == machines_.end() || source == machines_.end()
-                   ? nullptr
-                   : lineFor(at->second, how.cache, ask.id, avoid);
-  if (!line) {
+  if (at == machines_.end() || source == machines_.end()) {
     exchange_.legLost(key, Parting::noDescriptor, false);
     return 0;
   }
-  line->leg(key, ask.id, wantLine(ask, how, how.source == how.cache ? "" : source->second.id));
-  return line->number();
+  std::string line = wantLine(ask, how, how.source == how.cache ? "" : source->second.id);
+  return place({key, how.cache, ask.id, std::move(line), how.proven}, avoid);
+}
+
+std::uint64_t Caches::place(Held what, const std::vector<std::uint64_t>& avoid) {
+  auto at = machines_.find(what.cache);
+  bool none = at == machines_.end() || at->second.supplanted;
+  Line* line = none ? nullptr : lineFor(at->second, what.cache, what.id, avoid);
+  if (line) return line->leg(std::move(what)), line->number();
+  exchange_.legLost(what.key, none ? Parting::replaced : Parting::noDescriptor, false);
+  return 0;
 }
 
 void Caches::giveUp(LegKey key, const Ask& ask, std::uint32_t cache) {
--- a/src/caches/caches.hpp
+++ b/src/caches/caches.hpp
@@ -29,6 +29,8 @@
     bool supplanted = false;  // another machine has its address now
     std::map<std::uint64_t, std::shared_ptr<Line>> lines;  // by number; emptied as they end
   };
+  struct Held;
+  std::uint64_t place(Held what, const std::vector<std::uint64_t>& avoid = {});
   Line* lineFor(Machine& m, std::uint32_t cache, const std::string& id,
                 const std::vector<std::uint64_t>& avoid);
   void drop(std::uint32_t cache, std::uint64_t line);
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -534,6 +534,8 @@
     }
     SendLeg a{p.pull, at.cache, source ? source->cache : at.cache, may.join, p.ware->freshFor > 0};
     a.heldOnly = p.spared = leg.source && leg.source->role == Role::parent && sparesOrigin(p);
+    // What may run once is lost with a connection that broke unseen while it lay idle. Harm: one more way there.
+    a.proven = p.ware->effect == Effect::exclusive && may.probe;
     a.rank = p.rank;
     a.oldest = oldest(p);
     a.patience = std::max(1.0, p.expiresAt - now);
--- a/src/logic.hpp
+++ b/src/logic.hpp
@@ -143,6 +143,7 @@
   int rank = 0;
   Ms oldest = 0;    // 0: as old as the offering allows
   Ms patience = 0;  // 0: till the client quits
+  bool proven = false;  // only over a connection that has just shown that it carries
 };
 struct CancelLeg {
   std::uint32_t pull = 0;
--- a/tests/front_test.cpp
+++ b/tests/front_test.cpp
@@ -253,6 +253,24 @@
   }
 };
 
+struct Find final : exchange::CacheSide {  // the number under which the exchange knows it
+  std::uint32_t number = 0;
+  std::uint64_t send(LegKey, const Ask&, const SendLeg& how, const std::vector<std::uint64_t>&) override {
+    number = how.cache;
+    return 1;
+  }
+  void giveUp(LegKey, const Ask&, std::uint32_t) override {}
+  void probe(std::uint32_t) override {}
+  void list(const ListEntry& e, const std::string&, const loop::Address&) override { number = e.cache; }
+  void forget(std::uint32_t) override {}
+  std::uint32_t numberIn(Road& r, const std::vector<exchange::Listed>& list) {
+    r.exchange.meet(*this);
+    r.exchange.listCame(true, list);
+    r.exchange.meet(r.caches);
+    return number;
+  }
+};
+
 void answersComeInAnyOrderAndPieces() {
   FarListener far;
   Road r(machines({{"s-1", far.at}}));
@@ -282,22 +300,8 @@
 void legsOfOnePullAreKeptApart() {
   FarListener far;
   Road r(machines({{"s-1", far.at}}));
-  std::uint32_t cache = 0;
-  struct Find final : exchange::CacheSide {  // the number under which the exchange knows it
-    std::uint32_t number = 0;
-    std::uint64_t send(LegKey, const Ask&, const SendLeg& how, const std::vector<std::uint64_t>&) override {
-      number = how.cache;
-      return 1;
-    }
-    void giveUp(LegKey, const Ask&, std::uint32_t) override {}
-    void probe(std::uint32_t) override {}
-    void list(const ListEntry& e, const std::string&, const loop::Address&) override { number = e.cache; }
-    void forget(std::uint32_t) override {}
-  } find;
-  r.exchange.meet(find);
-  r.exchange.listCame(true, machines({{"s-1", far.at}}));
-  cache = find.number;
-  r.exchange.meet(r.caches);
+  Find find;
+  std::uint32_t cache = find.numberIn(r, machines({{"s-1", far.at}}));
   SendLeg how;
   how.cache = how.source = cache, how.patience = 60000;
   std::uint64_t first = r.caches.send({1, 0}, askFor(), how, {});
@@ -402,6 +406,42 @@
   }
 }
 
+// What may run once waits until its connection has shown that it carries: one that breaks under the call, as
+// idle or new ones may, has taken nothing with it, and the next one is tried, a few times. Given up while it
+// waits, it never left.
+void exclusiveLegsGoWhereItCarries() {
+  FarListener far;
+  Road r(machines({{"s-1", far.at}}));
+  LegKey key{1, 0};
+  SendLeg how;
+  Find find;
+  how.cache = how.source = find.numberIn(r, machines({{"s-1", far.at}}));
+  how.patience = 60000, how.proven = true;
+  for (int broken : {0, 2}) {
+    r.caches.send(key, askFor(), how, {});
+    for (int i = 0; i < broken; ++i) {
+      Far peer = far.next(r.loop);
+      until(r.loop, [&] { return peer.hears("there call\r\n"); });
+      assert(peer.got.find("want") == std::string::npos);
+      peer.reset();
+    }
+    Far peer = far.next(r.loop);
+    until(r.loop, [&] { return peer.hears("there call\r\n"); });
+    peer.say("call PONG - 0\r\n\r\n");
+    until(r.loop, [&] { return peer.hears("want " + id); });
+    peer.reset();
+    for (int i = 0; i < 20; ++i) r.loop.turn(1);
+  }
+  assert(r.exchange.counters.cacheConnections == 4);
+  r.caches.send(key, askFor(), how, {});
+  Far peer = far.next(r.loop);
+  until(r.loop, [&] { return peer.hears("there call\r\n"); });
+  r.caches.giveUp(key, askFor(), how.cache);
+  peer.say("call PONG - 0\r\n\r\n");
+  for (int i = 0; i < 20; ++i) r.loop.turn(1);
+  assert(!peer.hears("want") && !peer.hears("never_mind"));
+}
+
 // Few legs share a connection while there are descriptors for more; then all share what there is.
 void legsAreSpreadOverConnections() {
   FarListener far;
@@ -903,6 +943,7 @@
                  {"ends of connections end their legs", endsOfConnectionsEndTheirLegs},
                  {"what stops short holds up nobody", whatStopsShortHoldsUpNobody},
                  {"connections that carry nothing end", connectionsThatCarryNothingEnd},
+                 {"exclusive legs go where it carries", exclusiveLegsGoWhereItCarries},
                  {"legs are spread over connections", legsAreSpreadOverConnections},
                  {"a silent machine holds up nobody", aSilentMachineHoldsUpNobody},
                  {"idle connections are left in time", idleConnectionsAreLeftInTime},
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -7,7 +7,7 @@
 static void oneFinalAnswerInTime() {
   Front f;
   SendLeg a = f.pull(1);
-  assert(a.cache != 0);
+  assert(a.cache != 0 && !a.proven);
   f.now += 4000 - 3;  // nothing came: the answer goes out before the client leaves, and the leg is called off
   f.tell(WakeUp{std::uint64_t{1} << 56 | a.pull});
   assert(f.declined() && f.all<CancelLeg>().size() == 1);
@@ -39,7 +39,7 @@
                  {Ending::miss, true}}) {
     Front f;
     SendLeg a = f.pull(1, 1);
-    assert(a.cache == 31);  // it runs at the origin
+    assert(a.cache == 31 && a.proven);  // it runs at the origin
     f.end(a, c.ending);
     assert((f.leg().cache != 0 || f.declined()) == c.proven);
     assert(f.abandoned() == !c.proven);
