--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -53,17 +53,21 @@
   // ---- figures derived at start
   std::vector<Ware> wares;
   int zone, crew, fronts, places, parentKind, originKind, mostLegs;
-  Permits may; bool asksForList, lateral, weighed, linkTold;
+  Permits may;
+  bool asksForList, lateral, weighed, linkTold;
   Ms retryLimit, purgeKept, coldWindow;
-  double streamKbPerMs; Room link;
+  double streamKbPerMs;
+  Room link;
   Tally linkFills, linkLately;  // fills out through the link; its level
   ColdTerms coldStore, coldParent;
   std::knuth_b chance;
 
   // ---- state
-  Ms now = 0; std::vector<Action>* todo = nullptr;
+  Ms now = 0;
+  std::vector<Action>* todo = nullptr;
   std::map<std::uint32_t, Machine> machines;
-  std::vector<Machine*> stores, parents; Machine* origin = nullptr;
+  std::vector<Machine*> stores, parents;
+  Machine* origin = nullptr;
   std::map<std::uint32_t, Pull> pulls;  // emptied when a pull has ended and its last leg is in
   std::list<Memory> memories;           // oldest first
   std::unordered_map<std::uint64_t, std::list<Memory>::iterator> memoryAt;
@@ -173,7 +177,8 @@
   // Weighted rendezvous hash: every front comes to the same order. A cold machine's weight grows with its
   // warmth, so that its objects come home in step with what it can carry.
   std::vector<Machine*> inOrder(const std::vector<Machine*>& from, std::uint64_t object) const {
-    std::vector<std::pair<double, Machine*>> scored; std::vector<Machine*> order;
+    std::vector<std::pair<double, Machine*>> scored;
+    std::vector<Machine*> order;
     for (Machine* m : from) {
       std::uint64_t h = mixed(mixed(object) ^ mixed(m->cache));  // ids differ, so parents order on their own
       double u = (static_cast<double>(h >> 11) + 0.5) * 0x1p-53;
@@ -306,7 +311,8 @@
     constexpr int limit = 3;                      // more than chance, few enough to tell within a second
     constexpr Ms grace = second / 3;              // longer than the pauses of a busy machine
     if (now - m.lastGood <= grace) return false;  // none sent later can be overdue
-    double crowd = std::max(1.0, linkLevel()), overdue = 0;
+    int overdue = 0;
+    double crowd = std::max(1.0, linkLevel());
     for (auto& [id, p] : pulls)
       for (const Leg& leg : p.legs)
         overdue += leg.out && (leg.at == &m || leg.source == &m) && leg.sentAt > m.lastGood &&
@@ -368,7 +374,8 @@
   // Bounded load: the first in hash order that is at most a quarter over the mean level, or at one where most
   // pulls are in time, since a move costs a fill; and that this pull can bear. Else the least level.
   Machine* firstInBounds(const std::vector<Machine*>& open, const Pull& p) const {
-    double held = 0, room = 0; Machine* least = nullptr;
+    double held = 0, room = 0;
+    Machine* least = nullptr;
     for (Machine* m : open) {
       held += together(m->legs, sharers(*m));
       room += carries(m->room, now) * warmth(*m);
@@ -488,7 +495,8 @@
     Ware& w = *p.ware;
     p.expiresAt = now + e.ttl;
     Memory& m = *(p.memory = recall(e.object, e.part));
-    p.whole = recall(e.object, -1), ++m.pins, ++p.whole->pins;
+    p.whole = recall(e.object, -1);
+    ++m.pins, ++p.whole->pins;
     p.gap = m.lastPull > longAgo ? now - m.lastPull : 0;
     m.count = m.count * (m.lastPull > longAgo ? std::exp(-p.gap / countAgeing) : 0) + 1;
     m.lastPull = now, p.lastAt = m.lastAt;
@@ -504,8 +512,6 @@
     meanPayoff += 0.01 * (w.payoff - meanPayoff);  // about the last hundred pulls
     meanWork += 0.01 * (p.sending - meanWork);
     act(WakeMe{std::max(now, p.expiresAt - beforeExpiry), wakePull << 56 | p.pull});
-    p.overdueAt = now + w.overdue * (p.agreedAt - now);
-    if (mayDouble(p)) act(WakeMe{p.overdueAt, wakePull << 56 | p.pull});
     crowdsOut(p) ? giveUp(p, p.ware->meanSending) : tend(p);
     forget(p);
   }
@@ -577,20 +583,9 @@
     return send(p, *at, source), true;
   }
 
-  // A leg out for longer than 24 in 25 pulls take is doubled once: at its cache, if that has answered what was
-  // sent later, else elsewhere. Guards against answers that are swallowed or late, whoever does it. Harm: in a
-  // crowd legs turn slow; then the share of the agreed time moves with them, and few caches bear another leg.
-  bool mayDouble(const Pull& p) const { return may.twoLegsAtOnce && p.ware->effect == Effect::rerunnable; }
-  void doubleLeg(Pull& p) {
-    for (Leg& l : p.legs)
-      if (l.out && l.at->lastGood < l.sentAt) p.failed.push_back(l.at);
-    p.doubled = true, sendNext(p);
-  }
-
   void tend(Pull& p) {
     if (p.ended || p.streaming) return;
     if (now >= p.expiresAt - beforeExpiry) return giveUp(p, 0);
-    if (p.legOut() && now >= p.overdueAt && !p.doubled && mayDouble(p)) return doubleLeg(p);
     if (!p.legOut() && !sendNext(p)) giveUp(p, p.ware->meanSending);
   }
 
@@ -645,7 +640,6 @@
       leg.at->lastGood = std::max(leg.at->lastGood, leg.sentAt);
     if (e.ending == Ending::finished) {
       absolve(*leg.at);
-      p.ware->overdue = std::clamp(p.ware->overdue * (now > p.overdueAt ? 1.096 : 0.996), 0.2, 0.7);
       bool filled = e.remark == Remark::filled || e.remark == Remark::filledByOrigin;
       bool hit = e.remark == Remark::hit || e.remark == Remark::joined || e.remark == Remark::aged;
       if (e.remark == Remark::filledByOrigin) learnOrigin(e.waited);
@@ -726,7 +720,8 @@
 // ---- events
 
 Router::Router(const StoreSheet& sheet, std::uint64_t seed) : mind_(std::make_unique<Mind>(sheet, seed)) {}
-Router::~Router() = default; Router::Router(Router&&) noexcept = default;
+Router::~Router() = default;
+Router::Router(Router&&) noexcept = default;
 
 std::vector<Action> Router::handle(Ms now, const Event& event) {
   std::vector<Action> todo;
--- a/src/records.hpp
+++ b/src/records.hpp
@@ -15,7 +15,6 @@
 struct Ware : Offering {
   Ms meanSending = 0, omega = 0;
   bool sendingSeen = false;
-  double overdue = 0.7;  // the share of the agreed time in which 24 of 25 pulls are answered
 };
 
 // Transfers that a machine or link carries at full pace: what goes by its size, what it seems to do, and what
@@ -71,11 +70,11 @@
 
 struct Pull : PullCame {
   Ware* ware = nullptr;
-  Ms expiresAt = 0, agreedAt = 0, overdueAt = 0, sending = 0, gap = 0;
+  Ms expiresAt = 0, agreedAt = 0, sending = 0, gap = 0;
   Memory *memory = nullptr, *whole = nullptr;  // of the part, and of the object: its parts are of one size
   Machine* lastAt = nullptr;
   int rank = 1;
-  bool ended = false, streaming = false, siblingLacked = false, knownMiss = false, spared = false, doubled = false;
+  bool ended = false, streaming = false, siblingLacked = false, knownMiss = false, spared = false;
   std::vector<Leg> legs;
   std::vector<Machine*> failed;  // caches and sources that failed this pull
   bool hasFailed(const Machine* m) const { return std::count(failed.begin(), failed.end(), m) > 0; }
