--- a/src/caches/caches.cpp
+++ b/src/caches/caches.cpp
@@ -47,7 +47,8 @@
   }
 
   void leg(Held what) {
-    constexpr Ms fresh = 50;  // heard that lately it has not lain idle; far below what resets idle connections
+    constexpr Ms fresh =
+        50;  // heard that lately it has not lain idle; far below what resets idle connections
     Ms now = all_.loop_.now();
     bool waits = what.proven && !(carried_ && now - heardAt_ < fresh);
     std::string id = what.id, bytes = waits ? std::string() : std::move(what.bytes);
@@ -101,19 +102,20 @@
     counters.stalled += how == Parting::stalled;
     counters.silent += how == Parting::silent;
     if (how == Parting::malformed || how == Parting::stalled || how == Parting::silent)
-      log::say("%s: %s; its connection ends, %zu open", all_.machines_[cache_].id.c_str(), loop::word(how), open_.size());
+      log::say("%s: %s; its connection ends, %zu open", all_.machines_[cache_].id.c_str(), loop::word(how),
+               open_.size());
     struct Lost {
       Open open;
       bool whole;
     };
     std::vector<Lost> lost;
-    for (auto& [id, open] : open_)
-      lost.push_back({open, open.mark != 0 && !connection_.unsent(open.mark)});
+    for (auto& [id, open] : open_) lost.push_back({open, open.mark != 0 && !connection_.unsent(open.mark)});
     // The one whose answer was being read is told first: the others only fell with it.
     if (Open* culprit = reading_ ? theirs() : nullptr)
       std::stable_partition(lost.begin(), lost.end(),
                             [&](const Lost& one) { return one.open.mark == culprit->mark; });
-    // What waited here moves to another connection of its machine, unless that is not to be had: it never left.
+    // What waited here moves to another connection of its machine, unless that is not to be had: it never
+    // left.
     constexpr int most = 3;
     auto held = std::move(held_);
     bool there = how != Parting::refused && how != Parting::neverUp && how != Parting::noDescriptor &&
@@ -131,8 +133,7 @@
     int fell = 0;
     for (Held& one : held) ++one.moves, all.place(std::move(one));
     for (auto& [open, whole] : lost)
-      if (open.what == What::probe)
-        all.exchange_.probeEnded(cache, false, all.loop_.now() - open.sentAt, {});
+      if (open.what == What::probe) all.exchange_.probeEnded(cache, false, all.loop_.now() - open.sentAt, {});
       else if (open.what == What::leg) all.exchange_.legLost(open.key, how, whole, fell++);
   }
 
@@ -151,7 +152,8 @@
   // In looks, so that a standstill of this process with bytes waiting is not taken for the peer's. Harm: a
   // machine that pauses for longer loses what is open here.
   void lookAgain(int quiet) {
-    constexpr Ms look = 75;  // two are beyond a busy machine's standstills (40 ms); four, below an agreed time
+    constexpr Ms look =
+        75;  // two are beyond a busy machine's standstills (40 ms); four, below an agreed time
     look_ = all_.loop_.at(all_.loop_.now() + look, [this, quiet, heard = heardAt_] {
       look_ = 0;
       if (connection_.isOver() || (!inPart() && open_.empty())) return;
@@ -267,7 +269,7 @@
   bool stale_ = false, reading_ = false, carried_ = false;
   Ms heardAt_, usedAt_;
   std::uint64_t look_ = 0;  // timer, while something is open or has come in part
-  Answer answer_;  // the one being read, and how many of its bytes are still to come
+  Answer answer_;           // the one being read, and how many of its bytes are still to come
   std::size_t left_ = 0;
   std::vector<Held> held_;            // emptied by the call's answer, giving up and the end
   std::map<std::string, Open> open_;  // emptied by answers, giving up, overdue probes and the end
@@ -305,7 +307,8 @@
 Caches::Line* Caches::lineFor(Machine& m, std::uint32_t cache, const std::string& id,
                               const std::vector<std::uint64_t>& avoid) {
   // What is open on a connection that carries nothing more is lost with it: so many at most, while there are
-  // descriptors for more. On a busy day a cache has a hundred out from one front, which ten connections carry.
+  // descriptors for more. On a busy day a cache has a hundred out from one front, which ten connections
+  // carry.
   constexpr std::size_t few = 8;
   Line* least = nullptr;
   for (auto& [number, line] : m.lines) {
--- a/src/caches/caches.hpp
+++ b/src/caches/caches.hpp
@@ -26,7 +26,7 @@
     std::string id;
     loop::Address at{};
     Ms startedAt = 0;
-    bool supplanted = false;  // another machine has its address now
+    bool supplanted = false;                               // another machine has its address now
     std::map<std::uint64_t, std::shared_ptr<Line>> lines;  // by number; emptied as they end
   };
   struct Held;
--- a/src/clients/http.cpp
+++ b/src/clients/http.cpp
@@ -123,7 +123,8 @@
 
 bool Request::repeats(std::initializer_list<std::string_view> names) const {
   return std::any_of(names.begin(), names.end(), [&](std::string_view name) {
-    return std::count_if(headers.begin(), headers.end(), [&](auto& h) { return sameLetters(h.first, name); }) > 1;
+    return std::count_if(headers.begin(), headers.end(),
+                         [&](auto& h) { return sameLetters(h.first, name); }) > 1;
   });
 }
 
--- a/src/exchange/counters.hpp
+++ b/src/exchange/counters.hpp
@@ -10,7 +10,8 @@
   Count legs = 0, fills = 0, legsFinished = 0, misses = 0, full = 0, errors = 0, timedOut = 0, moot = 0;
   Count neverRan = 0, broken = 0, cancelled = 0, lateAnswers = 0;
   Count probes = 0, probesAnswered = 0, calls = 0;
-  Count clientConnections = 0, cacheConnections = 0, badRequests = 0, badLines = 0, stalled = 0, silent = 0, badNotices = 0;
+  Count clientConnections = 0, cacheConnections = 0, badRequests = 0, badLines = 0, stalled = 0, silent = 0,
+        badNotices = 0;
   Count listNews = 0, purges = 0, boardConnections = 0, shortOfDescriptors = 0, reloads = 0;
 };
 
--- a/src/exchange/exchange.cpp
+++ b/src/exchange/exchange.cpp
@@ -278,8 +278,8 @@
   return numbers_[machine] = {number, 0};
 }
 
-// New machines come under new ids all day. What was gone for longer than any pull lasts, and than the decisions
-// remember it, has no leg open and is named by nobody.
+// New machines come under new ids all day. What was gone for longer than any pull lasts, and than the
+// decisions remember it, has no leg open and is named by nobody.
 void Exchange::forgetGone() {
   constexpr Ms kept = 180 * 1000;
   std::erase_if(numbers_, [&](auto& one) {
--- a/src/exchange/exchange.hpp
+++ b/src/exchange/exchange.hpp
@@ -151,9 +151,9 @@
   CacheSide* caches_ = nullptr;
   bool listed_ = false, telling_ = false;
   std::uint32_t lastPull_ = 0;
-  std::deque<Event> untold_;                      // emptied before the outermost call returns
-  std::vector<std::uint32_t> ended_;              // the same: pulls that may now be forgotten
-  std::map<std::uint32_t, Pull> pulls_;           // emptied when a pull has its answer and its last leg is in
+  std::deque<Event> untold_;              // emptied before the outermost call returns
+  std::vector<std::uint32_t> ended_;      // the same: pulls that may now be forgotten
+  std::map<std::uint32_t, Pull> pulls_;   // emptied when a pull has its answer and its last leg is in
   std::map<std::string, Known> numbers_;  // machines, by id; emptied by news, some time after they have gone
 };
 
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -89,8 +89,10 @@
   add("broken", c.broken), add("cancelled", c.cancelled), add("moot", c.moot), add("late", c.lateAnswers);
   add("probes", c.probes), add("probes_answered", c.probesAnswered), add("calls", c.calls);
   add("client_connections", c.clientConnections), add("cache_connections", c.cacheConnections);
-  add("reloads", c.reloads), add("board_connections", c.boardConnections), add("list_news", c.listNews), add("purges", c.purges);
-  add("bad_requests", c.badRequests), add("bad_lines", c.badLines), add("stalled", c.stalled), add("silent", c.silent), add("bad_notices", c.badNotices);
+  add("reloads", c.reloads), add("board_connections", c.boardConnections), add("list_news", c.listNews),
+      add("purges", c.purges);
+  add("bad_requests", c.badRequests), add("bad_lines", c.badLines), add("stalled", c.stalled),
+      add("silent", c.silent), add("bad_notices", c.badNotices);
   add("short_of_descriptors", c.shortOfDescriptors);
   return line;
 }
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -205,8 +205,10 @@
       return found->second->usedAt = now, &*found->second;
     }
     // Beyond the longest omega, and with its count aged away, it says nothing more.
-    auto old = [&](const Memory& x) { return memories.size() >= mostMemories || x.usedAt < now - longestOmega; };
-    while (!memories.empty() && memories.front().pins == 0 && old(memories.front())) {
+    auto old = [&] {
+      return memories.size() >= mostMemories || memories.front().usedAt < now - longestOmega;
+    };
+    while (!memories.empty() && memories.front().pins == 0 && old()) {
       memoryAt.erase(memories.front().key);
       memories.pop_front();
     }
@@ -534,7 +536,7 @@
     }
     SendLeg a{p.pull, at.cache, source ? source->cache : at.cache, may.join, p.ware->freshFor > 0};
     a.heldOnly = p.spared = leg.source && leg.source->role == Role::parent && sparesOrigin(p);
-    // What may run once is lost with a connection that broke unseen while it lay idle. Harm: one more way there.
+    // What may run once is lost with a connection that broke unseen while idle. Harm: one more way there.
     a.proven = p.ware->effect == Effect::exclusive && may.probe;
     a.rank = p.rank;
     a.oldest = oldest(p);
--- a/src/logic.hpp
+++ b/src/logic.hpp
@@ -51,7 +51,7 @@
   Permits may;
   Ms longestRetryAfter = 0;  // 0: no retry time may be named
   int mostLegs = 1;
-  int places = 0;  // pulls that clients can have open here at once; 0: not told
+  int places = 0;        // pulls that clients can have open here at once; 0: not told
   bool lateral = false;  // a cache may be filled from another of its zone
   double streamKbPerMs = 0;
   double linkKbPerMs = 0;  // of this zone; 0: not told
@@ -107,7 +107,7 @@
   Ms took = 0;
   bool final = false;
   Remark remark = Remark::none;
-  Ms waited = 0;  // until the first byte of a fill came, or it failed
+  Ms waited = 0;     // until the first byte of a fill came, or it failed
   int fellWith = 0;  // legs told before it that ended with the same connection
   std::vector<float> report;
 };
@@ -141,8 +141,8 @@
   std::uint32_t pull = 0, cache = 0, source = 0;       // source == cache: no fill
   bool join = false, renew = false, heldOnly = false;  // heldOnly: the source fetches nothing itself
   int rank = 0;
-  Ms oldest = 0;    // 0: as old as the offering allows
-  Ms patience = 0;  // 0: till the client quits
+  Ms oldest = 0;        // 0: as old as the offering allows
+  Ms patience = 0;      // 0: till the client quits
   bool proven = false;  // only over a connection that has just shown that it carries
 };
 struct CancelLeg {
--- a/src/loop/connection.cpp
+++ b/src/loop/connection.cpp
@@ -14,8 +14,8 @@
 namespace dunlinwick::loop {
 
 const char* word(Parting how) {
-  static const char* const words[] = {"refused", "never up",  "no descriptor", "closed", "reset",
-                                      "silent",  "malformed", "stalled", "replaced", "let go"};
+  static const char* const words[] = {"refused", "never up",  "no descriptor", "closed",   "reset",
+                                      "silent",  "malformed", "stalled",       "replaced", "let go"};
   return words[static_cast<int>(how)];
 }
 
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -11,7 +11,9 @@
   app.require_subcommand(1);
   app.failure_message(CLI::FailureMessage::help);  // a wrong command line gets its usage
   std::string file, listen;
-  CLI::App* serve = app.add_subcommand("serve", "serve clients until SIGTERM; SIGHUP reads the configuration again, SIGUSR1 prints the counters");
+  CLI::App* serve = app.add_subcommand(
+      "serve",
+      "serve clients until SIGTERM; SIGHUP reads the configuration again, SIGUSR1 prints the counters");
   CLI::App* check = app.add_subcommand("check", "read a configuration and say what it holds");
   CLI::App* version = app.add_subcommand("version", "print the version");
   for (CLI::App* one : {serve, check}) {
--- a/tests/front_test.cpp
+++ b/tests/front_test.cpp
@@ -200,8 +200,8 @@
   }
 }
 
-// A machine keeps its number while it is listed; some minutes after it has left, told so or lacking from a whole
-// list, nothing of it is kept.
+// A machine keeps its number while it is listed; some minutes after it has left, told so or lacking from a
+// whole list, nothing of it is kept.
 void machinesThatLeftAreForgotten() {
   for (bool told : {true, false}) {
     Desk d(kit::sheet(), 2);
@@ -285,8 +285,8 @@
   std::string body(3000, 'b');
   body[7] = '\r', body[8] = '\n';
   std::string all =
-      "00000000000000ff HIT - 3\r\nold\r\n00000000000000aa HIT entity=t2,issued=1,remark=local 3000\r\n" + body +
-      "\r\n" + id + " VALID entity=t1,issued=1,remark=local 0\r\n\r\n";
+      "00000000000000ff HIT - 3\r\nold\r\n00000000000000aa HIT entity=t2,issued=1,remark=local 3000\r\n" +
+      body + "\r\n" + id + " VALID entity=t1,issued=1,remark=local 0\r\n\r\n";
   for (char c : all) {
     peer.say(std::string_view(&c, 1));
     r.loop.turn(0);
@@ -379,8 +379,8 @@
   }
 }
 
-// A connection that carries nothing more, though it stays open: called, it does not answer, and what is open on
-// it is asked again on another, minutes before its time is up. One that answers the call is waited for.
+// A connection that carries nothing more, though it stays open: called, it does not answer, and what is open
+// on it is asked again on another, minutes before its time is up. One that answers the call is waited for.
 void connectionsThatCarryNothingEnd() {
   for (bool carries : {false, true}) {
     FarListener far;
@@ -869,7 +869,8 @@
   Ms end = loop.now() + 1000;  // beyond the time in which clients still come
   until(loop, [&] { return loop.now() > end; });
   cache.say(id +
-            " HIT entity=t,issued=1,remark=local 2\r\nok\r\n00000000000000aa HIT entity=t,issued=1,remark=local 2\r\nok\r\n");
+            " HIT entity=t,issued=1,remark=local 2\r\nok\r\n00000000000000aa HIT "
+            "entity=t,issued=1,remark=local 2\r\nok\r\n");
   until(loop, [&] { return first.hears("\r\n\r\nok") && third.hears("\r\n\r\nok"); });
   int status = -1;
   until(loop, [&] { return ::waitpid(child, &status, WNOHANG) == child; });
@@ -902,9 +903,10 @@
   // Event 2 stands in the new file as well, 3 is new there, 5 comes before 4: the board is asked for it.
   std::string fresh = charter(at, next.text(), store.text());
   std::string head = "\"known\":{\"rev\":1,\"notices\":[";
-  fresh.replace(fresh.find(head), head.size(),
-                "\"known\":{\"rev\":5,\"notices\":[{\"rev\":2,\"flush\":{\"collection\":3,\"ms\":1}},{\"rev\":3,"
-                "\"flush\":{\"collection\":4,\"ms\":1}},{\"rev\":5,\"flush\":{\"collection\":4,\"ms\":1}},");
+  fresh.replace(
+      fresh.find(head), head.size(),
+      "\"known\":{\"rev\":5,\"notices\":[{\"rev\":2,\"flush\":{\"collection\":3,\"ms\":1}},{\"rev\":3,"
+      "\"flush\":{\"collection\":4,\"ms\":1}},{\"rev\":5,\"flush\":{\"collection\":4,\"ms\":1}},");
   written(fresh);
   ::kill(child, SIGHUP);
   Far nextEnd = next.next(loop);
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -224,8 +224,9 @@
   }
 }
 
-// Legs that fell with one connection are one sign: the cache stays in use, the legs that only fell with it are
-// asked there again, and a cache whose answers can't be read is not taken for a new process when it is back.
+// Legs that fell with one connection are one sign: the cache stays in use, the legs that only fell with it
+// are asked there again, and a cache whose answers can't be read is not taken for a new process when it is
+// back.
 static void oneBreakIsOneSign() {
   Front f;
   SendLeg a = f.pull(1), b = f.pull(1);
@@ -246,8 +247,8 @@
   }
 }
 
-// What is gone for long is forgotten, so that new ids all day fill no table: listed again it is a new machine.
-// Not while a pull points to it.
+// What is gone for long is forgotten, so that new ids all day fill no table: listed again it is a new
+// machine. Not while a pull points to it.
 static void machinesThatLeftAreForgotten() {
   for (bool pointedAt : {false, true}) {
     Front f;
