An error is a strike only once another machine answers the same pull

Legs, ages and tallies agreed with the sockets; who is set aside did not. Ruled out: broken connections (one sign each since), probes (all answered). Lines: blame() struck for an error at once; sendNext() asked up to eight machines. Now an error is a strike when another answers the same pull, and two machines that call it one end it. The test fails without the change.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -286,10 +286,8 @@
     if (!t || t->multiple <= 0 || coldWindow <= 0) return true;
     while (!m.spent.empty() && m.spent.front().first < now - coldWindow) m.spent.pop_front();
     double share = prudence * t->multiple * coldCapacity(m) * warmth(m) * coldWindow / sharers(m);
-    if (share < work && now >= m.turnUntil) {
-      m.turn = std::uniform_real_distribution<>()(chance) < share / work;
-      m.turnUntil = now + coldWindow;
-    }
+    if (share < work && now >= m.turnUntil)
+      m.turn = std::uniform_real_distribution<>()(chance) < share / work, m.turnUntil = now + coldWindow;
     if (share < work) return m.turn && m.spent.empty();
     for (auto& [at, w] : m.spent) work += w;
     return work <= share;
@@ -474,8 +472,7 @@
   void learnFill(const Leg& leg, Ms own, Ms took) {
     Machine& from = *leg.source;
     if (own <= 0) return;
-    from.pace += 0.1 * (std::max(1.0, took / own) - from.pace);  // about the last ten fills
-    from.paceAt = now;
+    from.pace += 0.1 * (std::max(1.0, took / own) - from.pace), from.paceAt = now;  // the last ten fills
     double best = from.pace;
     for (const Machine* m : parents)
       if (now - m->paceAt < 5 * second) best = std::min(best, m->pace);
@@ -497,15 +494,13 @@
     Ware& w = *p.ware;
     p.expiresAt = now + e.ttl;
     Memory& m = *(p.memory = recall(e.object, e.part));
-    p.whole = recall(e.object, -1);
-    ++m.pins, ++p.whole->pins;
+    p.whole = recall(e.object, -1), ++m.pins, ++p.whole->pins;
     p.gap = m.lastPull > longAgo ? now - m.lastPull : 0;
     m.count = m.count * (m.lastPull > longAgo ? std::exp(-p.gap / countAgeing) : 0) + 1;
     m.lastPull = now, p.lastAt = m.lastAt;
     if (e.sizeKb > 0 && streamKbPerMs > 0) {
       p.sending = e.sizeKb / streamKbPerMs;
-      w.meanSending += (p.sending - w.meanSending) * (w.sendingSeen ? 0.01 : 1);
-      w.sendingSeen = true;
+      w.meanSending += (p.sending - w.meanSending) * (w.sendingSeen ? 0.01 : 1), w.sendingSeen = true;
     } else {
       p.sending = p.whole->sending > 0 ? p.whole->sending : w.meanSending;
     }
@@ -538,8 +533,7 @@
     a.heldOnly = p.spared = leg.source && leg.source->role == Role::parent && sparesOrigin(p);
     // What may run once is lost with a connection that broke unseen while idle. Harm: one more way there.
     a.proven = p.ware->effect == Effect::exclusive && may.probe;
-    a.rank = p.rank;
-    a.oldest = oldest(p);
+    a.rank = p.rank, a.oldest = oldest(p);
     a.patience = std::max(1.0, p.expiresAt - now);
     act(a);
     p.legs.push_back(leg);
@@ -562,7 +556,9 @@
   }
 
   bool sendNext(Pull& p) {
-    if (static_cast<int>(p.legs.size()) >= mostLegs || p.spared) return false;
+    // Two machines that call it an error are believed: a third would say the same.
+    auto erred = std::count_if(p.legs.begin(), p.legs.end(), [](const Leg& l) { return l.erred; });
+    if (static_cast<int>(p.legs.size()) >= mostLegs || p.spared || erred >= 2) return false;
     if (p.ware->neverKept && may.direct && origin && usable(*origin) && !p.hasFailed(origin) &&
         mayGo(p, *origin))
       return send(p, *origin, origin), true;
@@ -642,6 +638,10 @@
       leg.at->lastGood = std::max(leg.at->lastGood, leg.sentAt);
     if (e.ending == Ending::finished) {
       absolve(*leg.at);
+      // An error may be the pull's own: it is a strike once another answers the same. Guards against clients
+      // whose junk would set good caches aside. Harm: one that errs is known a leg later.
+      for (const Leg& other : p.legs)
+        if (other.erred) strike(*other.at);
       bool filled = e.remark == Remark::filled || e.remark == Remark::filledByOrigin;
       bool hit = e.remark == Remark::hit || e.remark == Remark::joined || e.remark == Remark::aged;
       if (e.remark == Remark::filledByOrigin) learnOrigin(e.waited);
@@ -698,7 +698,7 @@
       p.failed.push_back(leg.at);
     } else if (e.ending != Ending::cancelled && e.ending != Ending::moot && e.fellWith == 0) {
       leg.at->mayBeNew |= e.ending == Ending::noConnection || (leg.at->aside && e.ending == Ending::broken);
-      strike(*leg.at);
+      if (!(leg.erred = e.ending == Ending::error)) strike(*leg.at);
       p.failed.push_back(leg.at);
     }
   }
--- a/src/records.hpp
+++ b/src/records.hpp
@@ -65,7 +65,7 @@
   Machine* source = nullptr;  // nullptr: no fill
   Ms sentAt = 0;
   double load = 1, fill = 0;  // on the cache's own link and the location's, in transfers at full pace
-  bool out = true, neverRan = false;
+  bool out = true, neverRan = false, erred = false;
 };
 
 struct Pull : PullCame {
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -247,6 +247,28 @@
   }
 }
 
+// A pull that two machines call an error is at fault itself: it goes no further, and they stay in use. Where
+// another answers it, the one that erred is struck.
+static void badPullsStrikeNobody() {
+  Front f;
+  std::uint32_t home = f.pull(1).cache;
+  f.finish({f.lastPull, home});
+  for (int i = 0; i < 5; ++i) {
+    f.end(f.pull(1), Ending::error);
+    SendLeg second = f.leg();
+    assert(second.cache != home && second.cache != 0);
+    f.end(second, Ending::error, Remark::none, 1);
+    assert(f.declined());
+  }
+  assert(f.pull(1).cache == home);
+  f.finish({f.lastPull, home});
+  for (int i = 0; i < 2; ++i) {
+    f.end(f.pull(1), Ending::error);
+    f.end(f.leg(), Ending::finished, Remark::hit, 1);
+  }
+  assert(f.pull(1).cache != home);
+}
+
 // What is gone for long is forgotten, so that new ids all day fill no table: listed again it is a new
 // machine. Not while a pull points to it.
 static void machinesThatLeftAreForgotten() {
@@ -574,6 +596,7 @@
                  {"ranks follow held chance", ranksFollowHeldChance},
                  {"omega learns from warm caches only", omegaLearnsFromWarmCachesOnly},
                  {"one break is one sign", oneBreakIsOneSign},
+                 {"bad pulls strike nobody", badPullsStrikeNobody},
                  {"machines that left are forgotten", machinesThatLeftAreForgotten},
                  {"failing caches rest and come back", failingCachesRestAndComeBack},
                  {"a crowded link looks first", crowdedLinkLooksFirst},
