--- a/src/exchange/exchange.cpp
+++ b/src/exchange/exchange.cpp
@@ -35,8 +35,17 @@
   return h;
 }
 
+Decider moduleFor(const StoreSheet& sheet, std::uint64_t seed) {
+  return [router = std::make_shared<Router>(sheet, seed)](Ms now, const Event& event) {
+    return router->handle(now, event);
+  };
+}
+
+Exchange::Exchange(loop::Loop& loop, const StoreSheet& sheet, Decider decides)
+    : loop_(loop), decides_(std::move(decides)), offerings_(sheet.offerings) {}
+
 Exchange::Exchange(loop::Loop& loop, const StoreSheet& sheet, std::uint64_t seed)
-    : loop_(loop), router_(sheet, seed), offerings_(sheet.offerings) {}
+    : Exchange(loop, sheet, moduleFor(sheet, seed)) {}
 
 // ---- the decisions
 
@@ -47,7 +56,7 @@
   while (!untold_.empty()) {
     Event next = std::move(untold_.front());
     untold_.pop_front();
-    for (const Action& action : router_.handle(loop_.now(), next))
+    for (const Action& action : decides_(loop_.now(), next))
       std::visit([this](const auto& a) { act(a); }, action);
   }
   telling_ = false;
--- a/src/exchange/exchange.hpp
+++ b/src/exchange/exchange.hpp
@@ -2,6 +2,7 @@
 // side knows the other; both know what is declared here.
 #pragma once
 #include <deque>
+#include <functional>
 #include <map>
 #include <string>
 #include <string_view>
@@ -81,8 +82,13 @@
 // What a leg's connection's end means to the decisions: this is the one place that says so.
 Ending endingOf(loop::Parting how, bool writtenWhole);
 
+// What decides: the module, or what a test puts around it.
+using Decider = std::function<std::vector<Action>(Ms now, const Event& event)>;
+Decider moduleFor(const StoreSheet& sheet, std::uint64_t seed);
+
 class Exchange {
  public:
+  Exchange(loop::Loop& loop, const StoreSheet& sheet, Decider decides);
   Exchange(loop::Loop& loop, const StoreSheet& sheet, std::uint64_t seed);
   void meet(CacheSide& caches) { caches_ = &caches; }
   Counters counters;
@@ -146,7 +152,7 @@
   void forgetGone();
 
   loop::Loop& loop_;
-  Router router_;
+  Decider decides_;
   std::vector<Offering> offerings_;
   CacheSide* caches_ = nullptr;
   bool listed_ = false, telling_ = false;
--- a/src/front/charter.cpp
+++ b/src/front/charter.cpp
@@ -26,8 +26,12 @@
   std::ifstream file(path, std::ios::binary);
   std::stringstream text;
   if (!file || !(text << file.rdbuf())) throw std::runtime_error("configuration cannot be read: " + path);
-  auto all = json::read(text.str());
-  if (!all || all->kind != Kind::object) throw std::runtime_error("configuration is no JSON object: " + path);
+  return readCharterText(text.str(), path, listen);
+}
+
+Charter readCharterText(const std::string& text, const std::string& named, const std::string& listen) {
+  auto all = json::read(text);
+  if (!all || all->kind != Kind::object) throw std::runtime_error("configuration is no JSON object: " + named);
   Charter c;
   c.name = all->word("name");
   c.listen = address(listen.empty() ? need(*all, "listen", Kind::string).text : listen, "listen");
--- a/src/front/charter.hpp
+++ b/src/front/charter.hpp
@@ -22,5 +22,7 @@
 // Throws std::runtime_error with one line that says what is wrong. `listen`: in place of the file's, if
 // given.
 Charter readCharter(const std::string& path, const std::string& listen);
+// The same of a text; `named` is what a fault calls it.
+Charter readCharterText(const std::string& text, const std::string& named, const std::string& listen);
 
 }  // namespace dunlinwick::front
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -2,7 +2,6 @@
 
 #include <fcntl.h>
 #include <poll.h>
-#include <sys/resource.h>
 
 #include <algorithm>
 #include <cerrno>
@@ -19,19 +18,15 @@
 // for what the system opens.
 constexpr std::size_t aside = 24;
 
-std::size_t descriptors(const Charter& c) {
-  rlimit limit{};
-  std::size_t most = c.descriptors;
-  if (::getrlimit(RLIMIT_NOFILE, &limit) == 0 && limit.rlim_cur != RLIM_INFINITY)
-    most = std::min(most, static_cast<std::size_t>(limit.rlim_cur));
-  return most;
+std::size_t descriptors(const Charter& c, loop::Loop& loop) {
+  return std::min(c.descriptors, loop.ground().descriptorLimit());
 }
 
 // Clients hold at most a third of the descriptors; half leaves room for those that are about to close. Each
 // may hold one answer of the largest size, here and in the system's buffers, which the memory must bear.
-std::size_t mostClients(const Charter& c) {
+std::size_t mostClients(const Charter& c, loop::Loop& loop) {
   constexpr double share = 0.6, eachMb = 0.25;
-  return std::min(descriptors(c) / 2, static_cast<std::size_t>(share * c.memoryMb / eachMb));
+  return std::min(descriptors(c, loop) / 2, static_cast<std::size_t>(share * c.memoryMb / eachMb));
 }
 
 std::vector<bool> written(const StoreSheet& sheet) {
@@ -43,11 +38,14 @@
 }  // namespace
 
 Front::Front(loop::Loop& loop, const Charter& c)
+    : Front(loop, c, exchange::moduleFor(c.sheet, c.seed)) {}
+
+Front::Front(loop::Loop& loop, const Charter& c, exchange::Decider decides)
     : loop_(loop),
-      exchange_(loop, c.sheet, c.seed),
-      caches_(loop, exchange_, c.terms, descriptors(c) - aside - mostClients(c)),
+      exchange_(loop, c.sheet, std::move(decides)),
+      caches_(loop, exchange_, c.terms, descriptors(c, loop) - aside - mostClients(c, loop)),
       board_(loop, exchange_, c.terms, c.board),
-      clients_(loop, exchange_, c.terms.offerings, written(c.sheet), c.listen, mostClients(c)) {
+      clients_(loop, exchange_, c.terms.offerings, written(c.sheet), c.listen, mostClients(c, loop)) {
   exchange_.meet(caches_);
   if (!board_.begin(c.known)) throw std::runtime_error("configuration lacks usable events under known");
   board_.follow();
--- a/src/loop/connection.cpp
+++ b/src/loop/connection.cpp
@@ -1,11 +1,6 @@
 #include "loop/connection.hpp"
 
 #include <arpa/inet.h>
-#include <fcntl.h>
-#include <netinet/tcp.h>
-#include <poll.h>
-#include <sys/socket.h>
-#include <sys/uio.h>
 
 #include <algorithm>
 #include <cerrno>
@@ -34,28 +29,22 @@
   return a;
 }
 
-static void sendAtOnce(int fd) {
-  int on = 1;
-  ::setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
-}
-
 Connection::Connection(Loop& loop, Owner& owner, Descriptor accepted)
     : loop_(loop), owner_(owner), fd_(std::move(accepted)), up_(true) {
-  sendAtOnce(fd_.get());
   rewatch();
 }
 
 Connection::Connection(Loop& loop, Owner& owner, const Address& to, Ms within) : loop_(loop), owner_(owner) {
-  fd_ = Descriptor(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+  fd_ = Descriptor(loop.ground(), loop.ground().openStream());
   if (!fd_) {
     endAs(Parting::noDescriptor);
     return;
   }
-  sendAtOnce(fd_.get());
   limit_ = loop_.at(loop_.now() + within, [this] { finish(Parting::neverUp); });
-  if (::connect(fd_.get(), reinterpret_cast<const sockaddr*>(&to), sizeof to) == 0) up_ = true;
-  else if (errno == ECONNREFUSED) endAs(Parting::refused);
-  else if (errno != EINPROGRESS) endAs(Parting::neverUp);
+  int result = loop.ground().connect(fd_.get(), to);
+  if (result == 0) up_ = true;
+  else if (result == -ECONNREFUSED) endAs(Parting::refused);
+  else if (result != -EINPROGRESS) endAs(Parting::neverUp);
   if (up_) loop_.cancel(limit_);
   rewatch();
 }
@@ -127,7 +116,7 @@
 }
 
 void Connection::sayNoMore() {
-  if (!over_ && !shut_) ::shutdown(fd_.get(), SHUT_WR);
+  if (!over_ && !shut_) loop_.ground().sayNoMore(fd_.get());
   shut_ = true;
 }
 
@@ -140,12 +129,9 @@
       parts[count++] = {m.bytes.data() + skip, m.bytes.size() - skip};
       if (count == 16) break;
     }
-    msghdr head{};
-    head.msg_iov = parts;
-    head.msg_iovlen = static_cast<std::size_t>(count);
-    ssize_t put = ::sendmsg(fd_.get(), &head, MSG_NOSIGNAL);
-    if (put < 0 && errno == EINTR) continue;
-    if (put < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == ENOBUFS)) return;
+    ssize_t put = loop_.ground().send(fd_.get(), {parts, static_cast<std::size_t>(count)});
+    if (put == -EINTR) continue;
+    if (put == -EAGAIN || put == -EWOULDBLOCK || put == -ENOBUFS) return;
     if (put < 0) return endAs(Parting::reset);
     outDone_ += static_cast<std::size_t>(put);
     while (!out_.empty() && outDone_ >= out_.front().bytes.size()) {
@@ -159,23 +145,21 @@
   // One read a turn, so that a fast sender does not hold up the others.
   constexpr std::size_t chunk = 1 << 14;
   std::span<char> room = in.room(chunk);
-  ssize_t got = ::recv(fd_.get(), room.data(), room.size(), 0);
+  ssize_t got = loop_.ground().receive(fd_.get(), room);
   if (got > 0) {
     in.wrote(static_cast<std::size_t>(got));
     owner_.came();
     rewatch();
   } else if (got == 0) {
     finish(Parting::closed);
-  } else if (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR) {
+  } else if (got != -EAGAIN && got != -EWOULDBLOCK && got != -EINTR) {
     finish(Parting::reset);
   }
 }
 
 void Connection::ready(short events) {
   if (!up_) {
-    int fault = 0;
-    socklen_t size = sizeof fault;
-    ::getsockopt(fd_.get(), SOL_SOCKET, SO_ERROR, &fault, &size);
+    int fault = loop_.ground().fault(fd_.get());
     if (fault == ECONNREFUSED) return finish(Parting::refused);
     if (fault != 0 || (events & (POLLERR | POLLHUP))) return finish(Parting::neverUp);
     if (!(events & POLLOUT)) return;
--- a/src/loop/connection.hpp
+++ b/src/loop/connection.hpp
@@ -1,14 +1,11 @@
 // A TCP connection: one buffer for what comes in, and the messages that are still to go out.
 #pragma once
-#include <netinet/in.h>
-
 #include <deque>
 #include <optional>
 #include <string>
 #include <string_view>
 
 #include "loop/buffer.hpp"
-#include "loop/descriptor.hpp"
 #include "loop/loop.hpp"
 
 namespace dunlinwick::loop {
@@ -28,7 +25,6 @@
 };
 const char* word(Parting how);
 
-using Address = sockaddr_in;
 std::optional<Address> readAddress(std::string_view text);  // 127.0.0.1:5050
 
 class Connection final : Handler {
--- a/src/loop/listener.cpp
+++ b/src/loop/listener.cpp
@@ -1,22 +1,15 @@
 #include "loop/listener.hpp"
 
-#include <poll.h>
-#include <sys/socket.h>
-
 #include <cerrno>
 #include <system_error>
 
 namespace dunlinwick::loop {
 
 Listener::Listener(Loop& loop, const Address& at, std::function<void(Descriptor)> taken)
-    : loop_(loop),
-      fd_(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0)),
-      taken_(std::move(taken)) {
-  int on = 1;
-  if (!fd_ || ::setsockopt(fd_.get(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof on) != 0 ||
-      ::bind(fd_.get(), reinterpret_cast<const sockaddr*>(&at), sizeof at) != 0 ||
-      ::listen(fd_.get(), SOMAXCONN) != 0)
-    throw std::system_error(errno, std::generic_category(), "cannot listen");
+    : loop_(loop), taken_(std::move(taken)) {
+  int fd = loop.ground().listen(at);
+  if (fd < 0) throw std::system_error(-fd, std::generic_category(), "cannot listen");
+  fd_ = Descriptor(loop.ground(), fd);
   resume();
 }
 
@@ -37,13 +30,13 @@
 }
 
 bool Listener::acceptOne() {
-  int fd = ::accept4(fd_.get(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+  int fd = loop_.ground().accept(fd_.get());
   if (fd >= 0) {
-    taken_(Descriptor(fd));
+    taken_(Descriptor(loop_.ground(), fd));
     return true;
   }
-  if (errno == EINTR || errno == ECONNABORTED) return true;
-  if (errno == EAGAIN || errno == EWOULDBLOCK) return false;
+  if (fd == -EINTR || fd == -ECONNABORTED) return true;
+  if (fd == -EAGAIN || fd == -EWOULDBLOCK) return false;
   // Out of descriptors: the backlog stays readable, so polling on would spin. A moment later one may be free.
   constexpr Ms moment = 50;
   ++shortOfDescriptors;
--- a/src/loop/loop.cpp
+++ b/src/loop/loop.cpp
@@ -1,22 +1,9 @@
 #include "loop/loop.hpp"
 
-#include <poll.h>
-
 #include <algorithm>
-#include <chrono>
 #include <cmath>
 
 namespace dunlinwick::loop {
-namespace {
-template <class Clock>
-Ms ms() {
-  return std::chrono::duration<double, std::milli>(Clock::now().time_since_epoch()).count();
-}
-}  // namespace
-
-Loop::Loop() : offset_(ms<std::chrono::system_clock>() - ms<std::chrono::steady_clock>()) {}
-
-Ms Loop::now() const { return ms<std::chrono::steady_clock>() + offset_; }
 
 void Loop::watch(int fd, Handler& handler, short events, bool patient) {
   std::size_t at = static_cast<std::size_t>(fd);
@@ -62,8 +49,10 @@
   Ms start = now();
   bool all = start - lookedAtAll_ >= patience, left = false;
   if (all) lookedAtAll_ = start;
-  std::vector<pollfd> polled;
-  std::vector<std::uint64_t> since;
+  // Taken from the loop for the turn, in case a handler turns it again.
+  std::vector<pollfd> polled = std::move(polled_);
+  std::vector<std::uint64_t> since = std::move(since_);
+  polled.clear(), since.clear();
   for (std::size_t fd = 0; fd < byFd_.size(); ++fd)
     if (byFd_[fd].handler && byFd_[fd].patient && !all) {
       left = true;
@@ -73,7 +62,7 @@
     }
   if (!timers_.empty()) longest = std::min(longest, timers_.begin()->first.first - start);
   if (left) longest = std::min(longest, lookedAtAll_ + patience - start);
-  int count = ::poll(polled.data(), polled.size(), static_cast<int>(std::ceil(std::max(0.0, longest))));
+  int count = ground_.wait(polled, static_cast<int>(std::ceil(std::max(0.0, longest))));
   if (count > 0)
     for (std::size_t i = 0; i < polled.size(); ++i) {
       const Watch& w = byFd_[static_cast<std::size_t>(polled[i].fd)];
@@ -81,6 +70,7 @@
     }
   runTimers();
   buried_.clear();
+  polled_ = std::move(polled), since_ = std::move(since);
 }
 
 }  // namespace dunlinwick::loop
--- a/src/loop/loop.hpp
+++ b/src/loop/loop.hpp
@@ -1,4 +1,4 @@
-// One loop on poll(2): descriptors, timers and the front's one clock.
+// One loop on a ground: descriptors, timers and the one clock of what runs on it.
 #pragma once
 #include <cstdint>
 #include <functional>
@@ -6,9 +6,9 @@
 #include <memory>
 #include <vector>
 
-namespace dunlinwick::loop {
+#include "loop/ground.hpp"
 
-using Ms = double;
+namespace dunlinwick::loop {
 
 class Handler {
  public:
@@ -20,10 +20,10 @@
 
 class Loop {
  public:
-  Loop();
-  // Unix time in milliseconds as at the start, moved on by the steady clock: it never goes back.
-  Ms now() const;
-  void skip(Ms by) { offset_ += by; }  // for tests: so much time has passed
+  explicit Loop(Ground& ground = system()) : ground_(ground) {}
+  Ground& ground() const { return ground_; }
+  Ms now() const { return ground_.now() + skipped_; }
+  void skip(Ms by) { skipped_ += by; }  // for tests: so much time has passed
 
   // Again: changes the events. A patient one is looked at every few milliseconds only.
   void watch(int fd, Handler& handler, short events, bool patient = false);
@@ -45,6 +45,7 @@
     while (!stopped_) turn(1000);
   }
   void stop() { stopped_ = true; }
+  bool stopped() const { return stopped_; }
 
  private:
   struct Watch {
@@ -55,10 +56,13 @@
   };
   void runTimers();
 
-  Ms offset_ = 0, lookedAtAll_ = 0;
+  Ground& ground_;
+  Ms skipped_ = 0, lookedAtAll_ = 0;
   bool stopped_ = false;
   std::uint64_t last_ = 0;
   std::vector<Watch> byFd_;
+  std::vector<pollfd> polled_;          // of the present turn, as its watches were then
+  std::vector<std::uint64_t> since_;
   std::map<std::pair<Ms, std::uint64_t>, std::function<void()>> timers_;  // emptied as they fall due
   std::map<std::uint64_t, Ms> timerAt_;                                   // the same
   std::vector<std::shared_ptr<void>> buried_;                             // emptied every turn
