Staged ground, world model, rules checker and the first drill

Change: src/stage/ (virtual clock, in-memory network), src/world/ (caches, area caches, head office, links), src/rules/ (judges from the wire), src/schema/ (JSON with comments, schema, line numbers), src/drill/ and dunlinctl drill run.

--- /dev/null
+++ b/src/ctl/main.cpp
@@ -0,0 +1,25 @@
+// The operators' command line.
+#include <CLI/CLI.hpp>
+#include <cstdio>
+
+#include "ctl/drill.hpp"
+#include "schema/schema.hpp"
+
+int main(int argc, char** argv) {
+  CLI::App app{"dunlinctl: rehearses, checks and steers dunlinwick's fronts"};
+  app.require_subcommand(1);
+  app.failure_message(CLI::FailureMessage::help);
+  app.set_version_flag("--version", "dunlinctl " DUNLINWICK_VERSION);
+  int code = 0;
+  dunlinwick::ctl::addDrill(app, code);
+  try {
+    app.parse(argc, argv);
+  } catch (const CLI::ParseError& fault) {
+    // Bad input is 1, whatever number the library gives it.
+    return app.exit(fault) == 0 ? 0 : 1;
+  } catch (const std::exception& fault) {
+    std::fprintf(stderr, "dunlinctl: %s\n", fault.what());
+    return 1;
+  }
+  return code;
+}
--- /dev/null
+++ b/src/drill/cast.hpp
@@ -0,0 +1,152 @@
+// The far sides of a front, on its own loop's ground: machines that speak the caches' line protocol out of the
+// model, the notice board, and clients. They run on the staged ground and on sockets alike, and tell the checker
+// what they see. Whatever the model answers later is sent by way of `Act`, which lets the process go on.
+#pragma once
+#include <functional>
+#include <memory>
+
+#include "loop/listener.hpp"
+#include "rules/rules.hpp"
+#include "world/model.hpp"
+
+namespace dunlinwick::drill {
+
+using loop::Address;
+using loop::Ms;
+using Tell = std::function<void(rules::Fact)>;
+using Act = std::function<void(const std::function<void()>&)>;
+
+// An answer's bytes: the tag over and over, so that a client can tell whether they are the tag's own.
+std::string bodyOf(const std::string& tag, double sizeKb, double bytesPerKb);
+
+// What goes wrong with a machine's answers.
+struct Spoilt {
+  double swallowed = 0, brokenOff = 0, noise = 0;  // shares
+};
+
+class MachineSpeaker {
+ public:
+  struct Setup {
+    std::string id;
+    Address at{};
+    std::vector<std::string> offerings;
+    double bytesPerKb = 0.25;
+    std::uint64_t seed = 1;
+  };
+  MachineSpeaker(loop::Loop& loop, Act act, world::Model& model, Tell tell, Setup setup);
+  ~MachineSpeaker();
+  Spoilt spoilt;
+
+ private:
+  class Caller;
+  loop::Loop& loop_;
+  Act act_;
+  world::Model& model_;
+  Tell tell_;
+  Setup setup_;
+  world::Dice dice_;
+  std::uint64_t last_ = 0;
+  std::map<std::uint64_t, std::shared_ptr<Caller>> callers_;  // emptied as they end
+  loop::Listener listener_;
+};
+
+// Publishes numbered events; every watcher is told those it lacks, in order.
+class BoardSpeaker {
+ public:
+  // Each front has one of its own, so that it is known who was told. `told`: an event was written to it.
+  using Told = std::function<void(std::uint64_t event)>;
+  // `first`: the number of the first event to come; those before it are known to whoever starts.
+  BoardSpeaker(loop::Loop& loop, const Address& at, std::uint64_t first, Told told);
+  ~BoardSpeaker();
+  std::uint64_t publish(std::string json);  // without its "rev"; returns the number
+  std::uint64_t last() const { return first_ + events_.size() - 1; }
+  void breakOff();              // ends all watches in the middle of a line
+  void stopUntil(Ms when);      // stays open and says nothing
+
+ private:
+  class Watcher;
+  void sayNumber();
+  loop::Loop& loop_;
+  Told told_;
+  std::uint64_t first_, last_ = 0, timer_ = 0;
+  Ms silentUntil_ = 0;
+  std::vector<std::string> events_;  // by the run's length
+  std::map<std::uint64_t, std::shared_ptr<Watcher>> watchers_;
+  loop::Listener listener_;
+};
+
+// ---- clients
+
+struct ClientTerms {
+  double pullsPerS = 60;
+  int retries = 1;
+  Ms wait = 100;       // before a retry; 0: at once
+  double honour = 0.6;  // of those who are told when to come back
+  double shortest = 0.5;  // a try is given up after this much to all of the offering's expiry
+  double impatient = 0.002;
+  double swing = 0.2;
+  Ms notice = 2000;  // for which clients go on coming to a dead front
+  double bytesPerKb = 0.25;
+};
+
+// What clients asked for and got, by the brief's definition of service.
+struct Takings {
+  struct Sum {
+    double asked = 0, got = 0;
+    std::uint64_t pulls = 0;
+  };
+  std::vector<Sum> byOffering;
+  std::vector<Sum> byTenSeconds;
+  std::uint64_t tries = 0, finished = 0, unchanged = 0, declined = 0, abandoned = 0, unanswered = 0,
+                refused = 0, left = 0, late = 0, lateFailures = 0;
+  std::vector<double> took;  // of the finished, first bucket under 1 ms, each next a fifth longer
+  double service() const;                  // of the whole run
+  double worstTen() const;                 // of the worst ten seconds
+  std::pair<int, double> worstOffering() const;
+};
+
+class Clients {
+ public:
+  struct FrontAt {
+    std::string name;
+    Address at{};
+  };
+  Clients(loop::Loop& loop, const world::Model& model, Tell tell, Takings& takings, ClientTerms terms, int store,
+          std::vector<FrontAt> fronts, std::uint64_t seed, Ms start, Ms end);
+  ~Clients();
+  std::size_t open() const;
+  std::string anyPopular();  // a thing that is often asked for
+  // ---- troubles
+  double crowd = 1;                                   // times the usual rate
+  double once = 0;                                    // share of pulls for objects wanted only once
+  double odd = 0, oddFactor = 10;                     // share of pulls for objects of odd size
+  std::function<void(const std::string& what)> seen;  // "handover asked"
+
+ private:
+  class Line;
+  struct Want;
+  void arrive(int offering);
+  void schedule(int offering);
+  void ask(std::shared_ptr<Want> want);
+  void over(std::shared_ptr<Want> want, bool finished, bool mayTryAgain, Ms retryAfter);
+  std::string thing(int offering);
+  std::string popular(int offering, bool local, std::size_t rank) const;
+  int pickFront();
+
+  loop::Loop& loop_;
+  const world::Model& model_;
+  Tell tell_;
+  Takings& takings_;
+  ClientTerms terms_;
+  int store_;
+  std::vector<FrontAt> fronts_;
+  std::vector<Ms> failingSince_, avoidedUntil_;  // by front
+  world::Dice dice_;
+  Ms start_, end_;
+  std::uint64_t last_ = 0;
+  std::vector<std::vector<double>> popularity_;  // by offering: the sums of Zipf's shares
+  std::map<std::uint64_t, std::shared_ptr<Line>> lines_;  // emptied as they end
+  std::map<std::string, std::string> copies_;             // thing and part to tag: a client's own; at most 500
+};
+
+}  // namespace dunlinwick::drill
--- /dev/null
+++ b/src/drill/report.cpp
@@ -0,0 +1,127 @@
+#include <rapidjson/prettywriter.h>
+#include <rapidjson/stringbuffer.h>
+
+#include <cmath>
+#include <cstdio>
+
+#include "drill/run.hpp"
+
+namespace dunlinwick::drill {
+namespace {
+
+std::string print(const char* format, auto... values) {
+  char text[400];
+  std::snprintf(text, sizeof text, format, values...);
+  return text;
+}
+
+// The time within which a share of the finished came, by the buckets.
+Ms quantile(const std::vector<double>& buckets, double share) {
+  double all = 0, sum = 0;
+  for (double b : buckets) all += b;
+  for (std::size_t i = 0; i < buckets.size(); ++i)
+    if ((sum += buckets[i]) >= share * all && all > 0) return std::pow(1.2, static_cast<double>(i));
+  return 0;
+}
+
+}  // namespace
+
+std::string hex(std::uint64_t digest) { return print("%016llx", static_cast<unsigned long long>(digest)); }
+
+std::string table(const Outcome& o) {
+  const Takings& t = o.takings;
+  std::string out;
+  out += print("drill %s, seed %llu: %.1f s played in %.2f s (%.1f times as fast), %llu events\n", o.drill.c_str(),
+               static_cast<unsigned long long>(o.seed), o.played / 1000, o.tookS, o.played / 1000 / std::max(1e-9, o.tookS),
+               static_cast<unsigned long long>(o.events));
+  for (const std::string& one : o.happened) out += "  " + one + "\n";
+  out += print("\n  service            %.3f   worst 10 s %.3f\n", t.service(), t.worstTen());
+  for (std::size_t i = 0; i < o.offerings.size(); ++i) {
+    const auto& s = t.byOffering[i];
+    out += print("    %-16s %.3f   %llu pulls\n", o.offerings[i].c_str(), s.asked > 0 ? s.got / s.asked : 1.0,
+                 static_cast<unsigned long long>(s.pulls));
+  }
+  out += print("  tries %llu: finished %llu, unchanged %llu, declined %llu, abandoned %llu, unanswered %llu, left %llu\n",
+               static_cast<unsigned long long>(t.tries), static_cast<unsigned long long>(t.finished),
+               static_cast<unsigned long long>(t.unchanged), static_cast<unsigned long long>(t.declined),
+               static_cast<unsigned long long>(t.abandoned), static_cast<unsigned long long>(t.unanswered),
+               static_cast<unsigned long long>(t.left));
+  out += print("  not taken by a front %llu; finished after the agreed time %llu; refused or failed late %llu\n",
+               static_cast<unsigned long long>(t.refused), static_cast<unsigned long long>(t.late),
+               static_cast<unsigned long long>(t.lateFailures));
+  out += print("  finished within: half %.0f ms, 9 in 10 %.0f ms, 99 in 100 %.0f ms\n", quantile(t.took, 0.5),
+               quantile(t.took, 0.9), quantile(t.took, 0.99));
+  out += print("  legs %llu; work wasted %.4f of what was done; from the head office %.0f MB, over the links %.0f MB\n",
+               static_cast<unsigned long long>(o.legs), o.wasted(), o.bytes.office / 1000, o.bytes.links / 1000);
+  const rules::Nearest& n = o.nearest;
+  out += "  nearest to each limit:\n";
+  out += print("    answers: %.0f ms of a client's time left\n", n.answerLeft > 1e8 ? 0.0 : n.answerLeft);
+  out += print("    drains: a leg %.0f ms after the word (500)\n", n.drainAfter);
+  out += print("    cold machines: %.2f of what one bears in a window\n", n.coldShare);
+  out += print("    purges: a leg %.0f ms after the word, answered from an older copy (500)\n", n.purgeAfter);
+  out += print("    refusals: held for %.0f ms\n", n.held);
+  for (int i = 0; i < 6; ++i)
+    if (o.counts[i] > 0)
+      out += print("\n  BROKEN: %s, %llu times\n", rules::word(static_cast<rules::Rule>(i)),
+                   static_cast<unsigned long long>(o.counts[i]));
+  std::size_t shown = 0;
+  for (const rules::Breach& b : o.breaches) {
+    if (++shown > 10) break;
+    out += print("    %8.3f s  %s  %s%s%s: %s\n", b.at / 1000, rules::word(b.rule), b.who.c_str(),
+                 b.pull.empty() ? "" : " pull ", b.pull.c_str(), b.what.c_str());
+  }
+  if (o.kept()) out += "\n  all rules kept\n";
+  return out + "digest " + hex(o.digest) + "\n";
+}
+
+std::string report(const Outcome& o) {
+  rapidjson::StringBuffer buffer;
+  rapidjson::PrettyWriter<rapidjson::StringBuffer> w(buffer);
+  w.SetIndent(' ', 1);
+  auto text = [&](const char* name, const std::string& v) { w.Key(name), w.String(v.c_str()); };
+  auto number = [&](const char* name, double v) { w.Key(name), w.Double(std::round(v * 1e6) / 1e6); };
+  auto count = [&](const char* name, std::uint64_t v) { w.Key(name), w.Uint64(v); };
+  const Takings& t = o.takings;
+  w.StartObject();
+  text("drill", o.drill), count("seed", o.seed), text("digest", hex(o.digest));
+  w.Key("rules_kept"), w.Bool(o.kept());
+  number("played_s", o.played / 1000), count("events", o.events);
+  w.Key("service"), w.StartObject();
+  number("whole", t.service()), number("worst_10_s", t.worstTen());
+  w.Key("by_offering"), w.StartObject();
+  for (std::size_t i = 0; i < o.offerings.size(); ++i)
+    number(o.offerings[i].c_str(), t.byOffering[i].asked > 0 ? t.byOffering[i].got / t.byOffering[i].asked : 1);
+  w.EndObject();
+  w.Key("by_10_s"), w.StartArray();
+  for (const auto& s : t.byTenSeconds) w.Double(std::round(1e6 * (s.asked > 0 ? s.got / s.asked : 1)) / 1e6);
+  w.EndArray(), w.EndObject();
+  w.Key("pulls"), w.StartObject();
+  count("tries", t.tries), count("finished", t.finished), count("unchanged", t.unchanged);
+  count("declined", t.declined), count("abandoned", t.abandoned), count("unanswered", t.unanswered);
+  count("left", t.left), count("not_taken", t.refused), count("late", t.late), count("failed_late", t.lateFailures);
+  w.EndObject();
+  w.Key("work"), w.StartObject();
+  count("legs", o.legs), number("wasted", o.wasted()), number("office_mb", o.bytes.office / 1000);
+  number("links_mb", o.bytes.links / 1000);
+  w.EndObject();
+  w.Key("nearest"), w.StartObject();
+  number("answer_left_ms", o.nearest.answerLeft), number("drain_after_ms", o.nearest.drainAfter);
+  number("cold_share", o.nearest.coldShare), number("purge_after_ms", o.nearest.purgeAfter);
+  number("held_ms", o.nearest.held);
+  w.EndObject();
+  w.Key("troubles"), w.StartArray();
+  for (const std::string& one : o.happened) w.String(one.c_str());
+  w.EndArray();
+  w.Key("breaches"), w.StartArray();
+  for (const rules::Breach& b : o.breaches) {
+    w.StartObject();
+    text("rule", rules::word(b.rule)), number("at_s", b.at / 1000), text("pull", b.pull), text("who", b.who);
+    text("what", b.what);
+    w.EndObject();
+  }
+  w.EndArray();
+  w.EndObject();
+  return std::string(buffer.GetString()) + "\n";
+}
+
+}  // namespace dunlinwick::drill
--- /dev/null
+++ b/src/drill/run.hpp
@@ -0,0 +1,61 @@
+// Plays a script: real fronts on the staged ground among the world's machines, boards and clients, with the
+// checker looking on. All of it follows from script and seed.
+#pragma once
+#include <functional>
+#include <memory>
+#include <ostream>
+
+#include "drill/cast.hpp"
+#include "drill/script.hpp"
+#include "exchange/exchange.hpp"
+#include "rules/rules.hpp"
+
+namespace dunlinwick::drill {
+
+// A front broken on purpose, at one seam. Made anew for each front that starts.
+class Break {
+ public:
+  virtual ~Break() = default;
+  virtual exchange::Decider around(exchange::Decider module, const StoreSheet&) { return module; }
+  virtual std::string sent(std::string bytes) { return bytes; }  // what the process gives its network
+  virtual bool sends() const { return false; }                   // sent() is wanted
+};
+using Breaker = std::function<std::unique_ptr<Break>()>;
+
+struct Options {
+  std::uint64_t seed = 1;
+  Breaker breaker;                             // none: fronts as they are
+  std::function<void(double done)> progress;   // 0 to 1, each virtual second
+  std::ostream* trace = nullptr;               // facts, a line each
+  std::ostream* logs = nullptr;                // what fronts say
+  bool stopAtBreach = false;
+};
+
+struct Outcome {
+  std::string drill;
+  std::uint64_t seed = 0, digest = 0, events = 0;
+  Ms played = 0;
+  double tookS = 0;  // real time; in no digest
+  std::vector<rules::Breach> breaches;
+  std::uint64_t counts[6] = {};
+  rules::Nearest nearest;
+  Takings takings;
+  std::vector<std::string> offerings;
+  world::Model::Bytes bytes;
+  double askedKb = 0;
+  std::uint64_t legs = 0;
+  bool kept() const { return breaches.empty(); }
+  double wasted() const { return bytes.asked > 0 ? bytes.wasted / bytes.asked : 0; }
+  std::vector<std::string> happened;  // troubles as they came, with their times
+};
+
+Outcome play(const Script& script, const Options& options);
+
+// What the checker needs to know of a script's site.
+rules::Limits limitsFor(const Script& script, std::uint64_t seed);
+
+std::string table(const Outcome& outcome);   // for people
+std::string report(const Outcome& outcome);  // JSON
+std::string hex(std::uint64_t digest);
+
+}  // namespace dunlinwick::drill
--- /dev/null
+++ b/src/drill/site.cpp
@@ -0,0 +1,164 @@
+#include "drill/site.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+
+namespace dunlinwick::drill {
+
+using world::between;
+using world::Grade;
+using world::Make;
+
+static std::string num(double v) {
+  char text[40];
+  std::snprintf(text, sizeof text, "%.6g", v);
+  return text;
+}
+
+Site siteFor(const Script& script, std::uint64_t seed) {
+  world::Dice dice(seed * 2 + 1);
+  auto draw = [&](double low, double high) { return between(dice, low, high); };
+  Site s;
+  world::Terms& t = s.terms;
+  world::OfferingTerms video, items, handover;
+  video.name = "video-parts", video.share = 0.52, video.sending = draw(250, 400), video.sizeSpread = draw(0.6, 1.2);
+  video.agreed = 500, video.agreedStretch = 2, video.expiry = 5000, video.payoff = 2, video.lateWorth = 0.15;
+  video.leastParts = 12, video.mostParts = 20, video.leastGap = 310, video.mostGap = 900;
+  video.zipf = draw(0.94, 1.1), video.local = draw(0.073, 0.29), video.objects = 300;
+  items.name = "catalogue-items", items.share = 0.45, items.sending = draw(30, 80), items.sizeSpread = draw(0.7, 1.3);
+  items.agreed = 250, items.agreedStretch = 2, items.expiry = 2500, items.payoff = 1, items.lateWorth = 0.2;
+  items.freshFor = 12000, items.zipf = draw(0.9, 1.2), items.local = draw(0.064, 0.3), items.objects = 400;
+  handover.name = "order-handover", handover.share = 0.032, handover.sending = draw(10, 30);
+  handover.effect = world::Effect::exclusive, handover.agreed = 700, handover.expiry = 3000, handover.payoff = 3;
+  handover.neverKept = true;
+  t.offerings = {video, items, handover};
+  if (script.ticketed) {
+    world::OfferingTerms stamp = items;
+    stamp.name = "stock-stamp", stamp.effect = world::Effect::ticketed, stamp.share = 0.05, stamp.memory = 10000;
+    stamp.freshFor = 0;
+    t.offerings.push_back(stamp);
+  }
+  t.flowKbPerMs = draw(3.6, 11);
+  t.fillPace = draw(2, 4);
+  t.officeAnswers = draw(20, 66);
+  t.fillTimeout = draw(1600, 3700);
+  t.reportEvery = draw(140, 950), t.reportLate = draw(68, 260);
+  t.errorRate = draw(0, 0.0005);
+  // "At the stated part or more", "within the stated time": what a front is told are the limits.
+  t.coldStoreFrom = 0.29, t.coldStoreLasts = 17000, t.coldAreaFrom = 0.079, t.coldAreaLasts = 22000;
+  s.storeWay = draw(0.1, 0.25), s.hubWay = draw(4.9, 9.7) / 2, s.clientWay = draw(3.2, 8.8) / 2;
+  s.notice = draw(540, 5000), s.silentNotice = draw(5300, 12000), s.addNotice = draw(230, 2100);
+  s.clientNotice = draw(920, 3800), s.honour = draw(0.39, 0.83), s.purgeNotice = draw(160, 380);
+
+  auto stores = static_cast<std::size_t>(script.stores);
+  std::vector<int> caches(stores, 1);
+  s.crews.assign(stores, 1);
+  for (int i = script.stores; i < script.caches; ++i)  // unequal, but none of one where all can have more
+    ++caches[static_cast<std::size_t>(i < 3 * script.stores ? i % script.stores
+                                                             : static_cast<int>(draw(0, script.stores - 1e-9)))];
+  for (int i = script.stores; i < script.fronts; ++i) {
+    std::size_t neediest = 0;
+    for (std::size_t k = 0; k < stores; ++k)
+      if (caches[k] * s.crews[neediest] > caches[neediest] * s.crews[k]) neediest = k;
+    ++s.crews[neediest];
+  }
+  double all = 0, meanKb = 0, meanWork = 0, shares = 0;
+  for (const auto& o : t.offerings) {
+    shares += o.share;
+    meanKb += o.neverKept ? 0 : o.share * o.sending * t.flowKbPerMs;
+    meanWork += o.neverKept ? 0 : o.share * o.sending;
+  }
+  meanKb /= shares, meanWork /= shares;
+  std::vector<double> capacity(stores, 0);
+  int number = 0;
+  for (std::size_t k = 0; k < stores; ++k)
+    for (int i = 0; i < caches[k]; ++i) {
+      Make m;
+      bool small = draw(0, 1) < 0.51;
+      double cores = std::floor(small ? draw(4, 7.99) : draw(6, 10.99)), speed = draw(0.85, 1.15);
+      m.id = "cache-" + std::to_string(++number), m.store = static_cast<int>(k);
+      m.capacity = cores * speed;
+      m.slots = static_cast<int>(cores * draw(3, 6)), m.queue = static_cast<int>(cores * draw(2, 8));
+      m.fills = static_cast<int>(cores * draw(2.8, 7.8));
+      capacity[k] += m.capacity, all += m.capacity;
+      s.makes.push_back(m);
+    }
+  s.pullsPerS = script.load > 0 ? script.load * all * 1000 / meanWork : script.pullsPerS;
+  double keepFor = draw(9300, 13000), links = 0;
+  for (Make& m : s.makes) m.keepKb = keepFor * s.pullsPerS / 1000 * meanKb * m.capacity / all;
+  for (std::size_t k = 0; k < stores; ++k) {
+    constexpr double missed = 0.3;  // of the bytes, at full load
+    s.linkCapacity.push_back(std::max(4.0, capacity[k] * missed * draw(1.1, 1.2) * (caches[k] < 6 ? 1.3 : 1)));
+    s.traffic.push_back(capacity[k] / all);
+    links += s.linkCapacity.back();
+  }
+  for (int i = 0; i < script.areas; ++i) {
+    Make m;
+    m.id = "area-" + std::to_string(i + 1), m.grade = Grade::area, m.way = s.hubWay;
+    m.capacity = links / script.areas * draw(1.1, 1.5);
+    m.slots = static_cast<int>(m.capacity * 20), m.queue = static_cast<int>(m.capacity * 10);
+    m.fills = static_cast<int>(m.capacity * 20);
+    m.keepKb = draw(19000, 36000) * s.pullsPerS / 1000 * meanKb / script.areas;
+    s.makes.push_back(m);
+  }
+  Make office;
+  office.id = "office", office.grade = Grade::office, office.way = s.hubWay;
+  office.capacity = draw(1.7, 2.5) * 0.4 * links + draw(1.5, 2.4) * links / static_cast<double>(stores);
+  office.slots = 4000, office.queue = 4000;
+  s.makes.push_back(office);
+  for (std::size_t k = 0; k < stores; ++k)
+    for (int i = 0; i < s.crews[k]; ++i)
+      s.fronts.push_back({"front-" + std::to_string(s.fronts.size() + 1), static_cast<int>(k)});
+  return s;
+}
+
+std::string listing(const Make& m, const std::string& at, const char* state) {
+  static const char* const kinds[] = {"box", "parent", "origin"};
+  std::string zone = m.grade == Grade::store ? "store-" + std::to_string(m.store) : "hub";
+  return "{\"id\":\"" + m.id + "\",\"addr\":\"" + at + "\",\"zone\":\"" + zone + "\",\"kind\":\"" +
+         kinds[static_cast<int>(m.grade)] + "\",\"cell\":" + std::to_string(m.store + 1) + ",\"state\":\"" + state +
+         "\",\"weight\":" + num(m.capacity) + ",\"started_ms\":" + std::to_string(static_cast<long long>(m.startedAt)) +
+         "}";
+}
+
+std::string configuration(const Script& script, const Site& site, const SiteFront& front, const std::string& listen,
+                          const std::string& board, std::uint64_t seed, const std::string& known) {
+  const world::Terms& t = site.terms;
+  char seedText[20];
+  std::snprintf(seedText, sizeof seedText, "%016llx", static_cast<unsigned long long>(seed));
+  std::string zones = "\"hub\"", crews = "0", pipes = "0", fresh, never, classes;
+  for (std::size_t k = 0; k < site.crews.size(); ++k) {
+    zones += ",\"store-" + std::to_string(k) + "\"";
+    crews += "," + std::to_string(site.crews[k]);
+    pipes += "," + num(site.linkCapacity[k] * t.flowKbPerMs * 1000);
+  }
+  for (const auto& o : t.offerings) {
+    const char* sep = classes.empty() ? "" : ",";
+    static const char* const effects[] = {"repeatable", "by_key", "once"};
+    fresh += sep + num(o.freshFor);
+    never += std::string(sep) + (o.neverKept ? "true" : "false");
+    classes += std::string(sep) + "{\"name\":\"" + o.name + "\",\"aim\":" + num(o.agreed) + ",\"aimStretch\":" +
+               num(o.agreedStretch) + ",\"giveUp\":" + num(o.expiry) + ",\"importance\":" + num(o.payoff) +
+               ",\"idempotency\":\"" + effects[static_cast<int>(o.effect)] + "\",\"group\":\"zone\",\"memorySpan\":" +
+               num(o.memory) + "}";
+  }
+  return "{\"name\":\"" + front.name + "\",\"listen\":\"" + listen + "\",\"board\":\"" + board + "\",\"seed\":\"" +
+         seedText + "\",\"limits\":{\"cores\":1.0,\"memory_mb\":" + num(script.memoryMb) + ",\"sockets\":" +
+         std::to_string(script.descriptors) + "},\"known\":" + known + ",\"settings\":{\"azs\":[" + zones +
+         "],\"flavors\":[\"box\",\"parent\",\"origin\"],\"zone\":" + std::to_string(front.store + 1) +
+         ",\"balancers\":" + std::to_string(site.fronts.size()) +
+         ",\"discovery\":\"push\",\"weights\":\"nominal\",\"classes\":[" + classes + "],\"familyInfo\":{" +
+         "\"crewByZone\":[" + crews + "],\"pipeKbPerS\":[" + pipes + "],\"streamKbPerS\":" +
+         num(t.flowKbPerMs * 1000) + ",\"parentKind\":1,\"sourceKind\":2,\"lifetimeByClass\":[" + fresh +
+         "],\"neverKept\":[" + never + "],\"direct\":true,\"lateral\":\"location\",\"purgeDone\":" + num(t.purgeDone) +
+         ",\"parentFloor\":" + num(t.coldAreaFrom) + ",\"parentRamp\":" + num(t.coldAreaLasts) +
+         ",\"parentFallMultiple\":" + num(t.coldAreaMultiple) + "},\"obligations\":{\"coldFrom\":" +
+         num(t.coldStoreFrom) + ",\"cold\":" + num(t.coldStoreLasts) + ",\"overloadFactor\":" +
+         num(t.coldStoreMultiple) + ",\"fall\":" + num(t.coldWindow) +
+         "},\"limits\":{\"maxAttempts\":8,\"cancel\":true,\"mayDuplicate\":true,\"probing\":true,\"retryAfter\":true," +
+         "\"maxRetryAfter\":500,\"connectTimeout\":400,\"connIdle\":30000,\"streamsPerConn\":100}," +
+         "\"report\":{\"names\":[\"util\",\"inflight\",\"x0\",\"x1\"],\"via\":\"probe\"}}}";
+}
+
+}  // namespace dunlinwick::drill
--- /dev/null
+++ b/src/schema/schema.hpp
@@ -0,0 +1,49 @@
+// Operators' and drills' files: JSON with comments and trailing commas, checked against a JSON Schema (draft 4, by
+// RapidJSON) before anything is taken from them. A file is taken whole or refused whole, and a refusal names
+// file, line, field and what is wrong with it.
+#pragma once
+#include <rapidjson/document.h>
+
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+namespace dunlinwick::schema {
+
+struct Fault {
+  std::string file;
+  int line = 0;       // counted from 1; 0: of the file as a whole
+  std::string field;  // a JSON pointer as /troubles/2/for_s
+  std::string why;
+  std::string text() const;  // file:line: field: why
+};
+
+struct Refused : std::runtime_error {
+  explicit Refused(std::vector<Fault> all);
+  std::vector<Fault> faults;  // one at least; the first is what()
+};
+
+// The text of a file, and where each of its values stands.
+class Sheet {
+ public:
+  // Throws Refused. `rules`: the schema's text, which is the program's own and must be good.
+  Sheet(std::string file, const std::string& text, const char* rules);
+  const rapidjson::Document& root() const { return root_; }
+  int lineOf(const std::string& pointer) const;  // of the value, or of the nearest one it stands in
+  const std::string& file() const { return file_; }
+  // For what no schema can say: throws Refused at that value.
+  [[noreturn]] void refuse(const std::string& pointer, const std::string& why) const;
+
+ private:
+  std::string file_;
+  rapidjson::Document root_;
+  std::vector<std::pair<std::string, int>> lines_;
+};
+
+// Throws Refused where the file can't be read. At most 4 MB.
+std::string readFile(const std::string& path);
+
+// The one of `known` that is nearest to `word` in spelling; "" where none is near.
+std::string nearest(const std::string& word, const std::vector<std::string>& known);
+
+}  // namespace dunlinwick::schema
