Eighteen fronts broken on purpose, and the command that shows how each was caught

Change: tests/mutants.cpp breaks a front around its module or between it and its network; dunlinctl drill mutants plays each until it is caught. A pull written towards a front that has died is owed by nobody.

--- a/src/ctl/drill.cpp
+++ b/src/ctl/drill.cpp
@@ -7,6 +7,7 @@
 #include <fstream>
 
 #include "drill/run.hpp"
+#include "mutants.hpp"
 #include "schema/schema.hpp"
 
 namespace dunlinwick::ctl {
@@ -59,6 +60,37 @@
   }
 };
 
+struct Mutants {
+  std::uint64_t seeds = 10;
+  bool json = false;
+
+  int operator()() const {
+    bool all = true;
+    std::string out;
+    for (const mutants::Mutant& m : mutants::all()) {
+      if (::isatty(STDERR_FILENO)) std::fprintf(stderr, "\r\x1b[K%s", m.name.c_str());
+      mutants::Verdict v = mutants::judge(m, seeds);
+      bool good = v.byItsRule && v.unbrokenKept;
+      all &= good;
+      if (json) {
+        out += out.empty() ? "[\n" : ",\n";
+        out += " {\"name\": \"" + m.name + "\", \"breaks\": \"" + rules::word(m.breaks) + "\", \"caught\": " +
+               (v.byItsRule ? "true" : "false") + ", \"unbroken_kept\": " + (v.unbrokenKept ? "true" : "false") +
+               ", \"seed\": " + std::to_string(v.seed) + "}";
+        continue;
+      }
+      out += (good ? "caught  " : v.byItsRule ? "UNSOUND " : v.caught ? "OTHER   " : "MISSED  ") + m.name + " (" + m.what +
+             ")\n";
+      if (v.byItsRule)
+        out += "        " + std::string(rules::word(m.breaks)) + ", seed " + std::to_string(v.seed) + ": " + v.first.what + "\n";
+      if (v.byItsRule && !v.unbrokenKept) out += "        but the unbroken front breaks a rule there too\n";
+    }
+    if (::isatty(STDERR_FILENO)) std::fprintf(stderr, "\r\x1b[K");
+    std::fputs((json ? out + "\n]\n" : out).c_str(), stdout);
+    return all ? 0 : 3;
+  }
+};
+
 }  // namespace
 
 void addDrill(CLI::App& app, int& code) {
@@ -73,6 +105,11 @@
   one->add_flag("--logs", run->logs, "with --report: what the fronts say, in fronts.log");
   one->add_flag("--quiet", run->quiet, "no progress");
   one->callback([run, &code] { code = (*run)(); });
+  auto broken = std::make_shared<Mutants>();
+  one = drill->add_subcommand("mutants", "every front broken on purpose, and by which rule it was caught; exit 0: all were");
+  one->add_option("--seeds", broken->seeds, "runs until one counts as missed")->capture_default_str();
+  one->add_flag("--json", broken->json, "as JSON in place of lines");
+  one->callback([broken, &code] { code = (*broken)(); });
 }
 
 }  // namespace dunlinwick::ctl
--- a/src/rules/rules.cpp
+++ b/src/rules/rules.cpp
@@ -106,7 +106,8 @@
       p.thing = f.thing, p.front = f.who, p.offering = f.offering, p.group = f.group;
       p.askedAt = p.quietSince = f.at;
       p.due = f.at + f.number;
-      p.life = fronts_[f.who].life;
+      // Written towards a front that has died, before its client could know: nobody took it.
+      p.life = fronts_[f.who].up ? fronts_[f.who].life : -1;
       due_.insert({p.due + limits_.slack, f.pull});
       old_.push_back({p.due, f.pull});
       pulls_[f.pull] = std::move(p);
--- /dev/null
+++ b/tests/mutants.cpp
@@ -0,0 +1,342 @@
+#include "mutants.hpp"
+
+#include <algorithm>
+#include <map>
+
+namespace dunlinwick::mutants {
+
+using drill::Break;
+using exchange::Decider;
+using rules::Rule;
+
+namespace {
+
+using Actions = std::vector<Action>;
+
+// Around the module: what it is told and what it wants pass through here.
+class Around : public Break {
+ public:
+  Decider around(Decider module, const StoreSheet& sheet) override {
+    sheet_ = sheet;
+    return [this, module = std::move(module)](Ms now, const Event& event) {
+      if (auto* p = std::get_if<PullCame>(&event)) note(now, *p);
+      Event told = event;
+      Actions actions;
+      if (tell(now, told)) actions = module(now, told);
+      for (const Action& a : actions)
+        if (auto* s = std::get_if<SendLeg>(&a)) pulls_[s->pull].legs.push_back(*s);
+      act(now, event, actions);
+      return actions;
+    };
+  }
+
+ protected:
+  struct Known {
+    PullCame came;
+    Ms at = 0;
+    std::vector<SendLeg> legs;
+  };
+  virtual bool tell(Ms, Event&) { return true; }               // false: the module is not told
+  virtual void act(Ms, const Event&, Actions&) {}              // after the module's own
+  Effect effect(std::uint32_t pull) { return sheet_.offerings[static_cast<std::size_t>(pulls_[pull].came.offering)].effect; }
+  static bool unclear(const LegEnded& e) {
+    return e.ending == Ending::broken || e.ending == Ending::timedOut || e.ending == Ending::error;
+  }
+
+  StoreSheet sheet_;
+  std::map<std::uint32_t, Known> pulls_;  // the latest thousand
+
+ private:
+  void note(Ms now, const PullCame& p) {
+    pulls_[p.pull] = {p, now, {}};
+    if (pulls_.size() > 1000) pulls_.erase(pulls_.begin());
+  }
+};
+
+class LosesRefusals : public Around {
+  void act(Ms, const Event&, Actions& a) override {
+    std::erase_if(a, [](const Action& one) {
+      return std::holds_alternative<DeclinePull>(one) || std::holds_alternative<AbandonPull>(one);
+    });
+  }
+};
+class ForgetsToWake : public Around {
+  bool tell(Ms, Event& e) override { return !std::holds_alternative<WakeUp>(e); }
+  void act(Ms, const Event&, Actions& a) override {  // and gives its legs all the time there is
+    for (Action& one : a)
+      if (auto* s = std::get_if<SendLeg>(&one)) s->patience = 0;
+  }
+};
+class AnswersTwice : public Break {
+  std::string sent(std::string bytes) override {
+    if (!bytes.starts_with("HTTP/1.1 503")) return bytes;
+    return ++count_ % 10 == 0 ? bytes + bytes : bytes;
+  }
+  bool sends() const override { return true; }
+  int count_ = 0;
+};
+class AnswersTooLate : public Around {  // a refusal is kept until its client's time is over
+  void act(Ms now, const Event& event, Actions& a) override {
+    Actions now_;
+    for (Action& one : a) {
+      auto* d = std::get_if<DeclinePull>(&one);
+      if (!d) {
+        now_.push_back(one);
+        continue;
+      }
+      held_[d->pull] = *d;
+      now_.push_back(WakeMe{pulls_[d->pull].at + pulls_[d->pull].came.ttl + 65, 1ull << 62 | d->pull});
+    }
+    if (auto* w = std::get_if<WakeUp>(&event); w && w->handle >> 62 == 1) {
+      auto at = held_.find(static_cast<std::uint32_t>(w->handle));
+      if (at != held_.end()) now_.push_back(at->second), held_.erase(at);
+    }
+    (void)now;
+    a = std::move(now_);
+  }
+  bool tell(Ms, Event& e) override {
+    auto* w = std::get_if<WakeUp>(&e);
+    return !w || w->handle >> 62 != 1;
+  }
+  std::map<std::uint32_t, DeclinePull> held_;
+};
+class HoldsRefusals : public Around {  // until shortly before its client's time is over
+  void act(Ms, const Event& event, Actions& a) override {
+    Actions out;
+    for (Action& one : a) {
+      auto* d = std::get_if<DeclinePull>(&one);
+      if (!d) {
+        out.push_back(one);
+        continue;
+      }
+      held_[d->pull] = *d;
+      out.push_back(WakeMe{pulls_[d->pull].at + 0.8 * pulls_[d->pull].came.ttl, 1ull << 62 | d->pull});
+    }
+    if (auto* w = std::get_if<WakeUp>(&event); w && w->handle >> 62 == 1)
+      if (auto at = held_.find(static_cast<std::uint32_t>(w->handle)); at != held_.end())
+        out.push_back(at->second), held_.erase(at);
+    a = std::move(out);
+  }
+  bool tell(Ms, Event& e) override {
+    auto* w = std::get_if<WakeUp>(&e);
+    return !w || w->handle >> 62 != 1;
+  }
+  std::map<std::uint32_t, DeclinePull> held_;
+};
+class HoldsAWhile : public Around {  // each refusal, for a second
+  void act(Ms now, const Event& event, Actions& a) override {
+    Actions out;
+    for (Action& one : a) {
+      auto* d = std::get_if<DeclinePull>(&one);
+      if (!d || pulls_[d->pull].came.ttl < 1500) {
+        out.push_back(one);
+        continue;
+      }
+      held_[d->pull] = *d;
+      out.push_back(WakeMe{now + 1000, 1ull << 62 | d->pull});
+    }
+    if (auto* w = std::get_if<WakeUp>(&event); w && w->handle >> 62 == 1)
+      if (auto at = held_.find(static_cast<std::uint32_t>(w->handle)); at != held_.end())
+        out.push_back(at->second), held_.erase(at);
+    a = std::move(out);
+  }
+  bool tell(Ms, Event& e) override {
+    auto* w = std::get_if<WakeUp>(&e);
+    return !w || w->handle >> 62 != 1;
+  }
+  std::map<std::uint32_t, DeclinePull> held_;
+};
+class MakesUpBytes : public Break {
+  std::string sent(std::string bytes) override {
+    if (bytes.starts_with("HTTP/1.1 200") && bytes.size() > 300 && ++count_ % 50 == 0) bytes.back() ^= 1;
+    return bytes;
+  }
+  bool sends() const override { return true; }
+  int count_ = 0;
+};
+class RepeatsExclusive : public Around {  // after an end that leaves unclear whether it ran
+  void act(Ms, const Event& event, Actions& a) override {
+    auto* e = std::get_if<LegEnded>(&event);
+    if (!e || e->final || !unclear(*e) || !pulls_.count(e->pull) || effect(e->pull) != Effect::exclusive) return;
+    std::erase_if(a, [&](const Action& one) {
+      auto* b = std::get_if<AbandonPull>(&one);
+      return b && b->pull == e->pull;
+    });
+    if (pulls_[e->pull].legs.empty()) return;
+    SendLeg again = pulls_[e->pull].legs.back();
+    pulls_[e->pull].legs.push_back(again);
+    a.push_back(again);
+  }
+};
+class DeclinesWhatMayHaveRun : public Around {
+  void act(Ms, const Event&, Actions& a) override {
+    for (Action& one : a)
+      if (auto* b = std::get_if<AbandonPull>(&one); b && effect(b->pull) == Effect::exclusive)
+        one = DeclinePull{b->pull, 0};
+  }
+};
+class DoublesExclusive : public Around {  // two legs at once, for speed
+  void act(Ms, const Event& event, Actions& a) override {
+    auto* p = std::get_if<PullCame>(&event);
+    if (!p || effect(p->pull) != Effect::exclusive) return;
+    for (std::size_t i = 0; i < a.size(); ++i)
+      if (auto* s = std::get_if<SendLeg>(&a[i])) {
+        SendLeg again = *s;
+        a.push_back(again);
+        return;
+      }
+  }
+};
+class LeavesTheGroup : public Around {  // a ticketed pull goes to any machine once one fails
+  void act(Ms, const Event& event, Actions& a) override {
+    if (auto* p = std::get_if<PullCame>(&event); p && effect(p->pull) == Effect::ticketed) {
+      for (const Action& one : a)
+        if (auto* s = std::get_if<SendLeg>(&one); s && s->source != s->cache) parent_ = s->source;
+    }
+    auto* e = std::get_if<LegEnded>(&event);
+    if (!e || e->final || !unclear(*e) || !pulls_.count(e->pull) || effect(e->pull) != Effect::ticketed || parent_ == 0)
+      return;
+    std::erase_if(a, [&](const Action& one) {
+      auto* s = std::get_if<SendLeg>(&one);
+      auto* b = std::get_if<AbandonPull>(&one);
+      return (s && s->pull == e->pull) || (b && b->pull == e->pull);
+    });
+    SendLeg again;
+    again.pull = e->pull, again.cache = again.source = parent_, again.rank = 1;
+    a.push_back(again);
+  }
+  std::uint32_t parent_ = 0;
+};
+class IgnoresDrains : public Around {
+  bool tell(Ms, Event& e) override {
+    if (auto* n = std::get_if<ListNews>(&e))
+      for (ListEntry& one : n->entries)
+        if (one.standing == Standing::draining && one.kind == 0) one.standing = Standing::ready;
+    return true;
+  }
+};
+class FillsFromDrained : public Around {
+  bool tell(Ms, Event& e) override {
+    if (auto* n = std::get_if<ListNews>(&e))
+      for (ListEntry& one : n->entries)
+        if (one.standing == Standing::draining && one.kind == sheet_.parentKind) one.standing = Standing::ready;
+    return true;
+  }
+};
+class TakesColdForWarm : public Around {
+  bool tell(Ms, Event& e) override {
+    if (auto* n = std::get_if<ListNews>(&e))
+      for (ListEntry& one : n->entries)
+        if (one.kind == 0) one.startedAt = 0;
+    return true;
+  }
+};
+class TakesColdAreaForWarm : public Around {
+  bool tell(Ms, Event& e) override {
+    if (auto* n = std::get_if<ListNews>(&e))
+      for (ListEntry& one : n->entries)
+        if (one.kind == sheet_.parentKind) one.startedAt = 0;
+    return true;
+  }
+};
+class ForgetsPurges : public Around {
+  bool tell(Ms, Event& e) override {
+    auto* p = std::get_if<Purged>(&e);
+    return !p || p->wholeGroup;
+  }
+};
+class ForgetsGroupPurges : public Around {
+  bool tell(Ms, Event& e) override {
+    auto* p = std::get_if<Purged>(&e);
+    return !p || !p->wholeGroup;
+  }
+};
+class AsksNoAge : public Around {
+  void act(Ms, const Event&, Actions& a) override {
+    for (Action& one : a)
+      if (auto* s = std::get_if<SendLeg>(&one)) s->oldest = 0;
+  }
+};
+
+template <class T>
+drill::Breaker made() {
+  return [] { return std::unique_ptr<Break>(std::make_unique<T>()); };
+}
+
+const char* const crowd = R"({"length_s": 14, "troubles": [
+  {"what": "crowd", "at_s": 2, "for_s": 10, "factor": 2.5}]})";
+const char* const brokenLegs = R"({"length_s": 25, "troubles": [
+  {"what": "broken_off", "whom": "office", "at_s": 2, "for_s": 22, "share": 0.5},
+  {"what": "broken_off", "whom": "cache", "count": 0, "at_s": 2, "for_s": 22, "share": 0.05}]})";
+const char* const brokenTickets = R"({"length_s": 25, "ticketed": true, "troubles": [
+  {"what": "broken_off", "whom": "cache", "count": 0, "at_s": 2, "for_s": 22, "share": 0.05}]})";
+const char* const drains = R"({"length_s": 20, "troubles": [
+  {"what": "drain", "whom": "cache", "count": 3, "at_s": 4, "for_s": 6},
+  {"what": "drain", "whom": "area", "at_s": 5, "for_s": 6}]})";
+const char* const coldCaches = R"({"length_s": 30, "load": {"pulls_per_s": 240, "of_capacity": 0.9}, "troubles": [
+  {"what": "restart", "whom": "cache", "count": 5, "at_s": 4, "for_s": 1}]})";
+const char* const coldAreas = R"({"length_s": 30, "load": {"pulls_per_s": 240, "of_capacity": 0.9}, "troubles": [
+  {"what": "restart", "whom": "area", "count": 1, "at_s": 4, "for_s": 2}]})";
+const char* const purges = R"({"length_s": 30, "troubles": [
+  {"what": "purge", "at_s": 10, "count": 30}, {"what": "purge", "at_s": 14, "count": 30},
+  {"what": "purge_groups", "at_s": 18, "share": 0.4}]})";
+
+}  // namespace
+
+const std::vector<Mutant>& all() {
+  static const std::vector<Mutant> list{
+      {"loses-refusals", "what is declined or abandoned is never told", Rule::answer, made<LosesRefusals>(), crowd},
+      {"forgets-to-wake", "no pull is ended by its own time", Rule::answer, made<ForgetsToWake>(),
+       R"({"length_s": 20, "troubles": [{"what": "swallowed", "whom": "cache", "count": 0, "at_s": 2, "for_s": 15, "share": 0.05},
+          {"what": "swallowed", "whom": "office", "at_s": 2, "for_s": 15, "share": 0.3}]})"},
+      {"answers-twice", "one refusal in ten is written twice", Rule::answer, made<AnswersTwice>(), crowd},
+      {"answers-too-late", "a refusal comes after its client's time", Rule::answer, made<AnswersTooLate>(), crowd},
+      {"makes-up-bytes", "one answer in fifty has a byte changed", Rule::answer, made<MakesUpBytes>(),
+       R"({"length_s": 8})"},
+      {"repeats-exclusive", "an exclusive pull goes out again after an unclear end", Rule::effect,
+       made<RepeatsExclusive>(), brokenLegs},
+      {"declines-what-may-have-run", "an exclusive pull with an unclear end is declined", Rule::effect,
+       made<DeclinesWhatMayHaveRun>(), brokenLegs},
+      {"doubles-exclusive", "an exclusive pull gets two legs at once", Rule::effect, made<DoublesExclusive>(),
+       R"({"length_s": 8})"},
+      {"leaves-the-group", "a ticketed pull with an unclear end goes to another group", Rule::effect,
+       made<LeavesTheGroup>(), brokenTickets},
+      {"ignores-drains", "legs go on to a cache that drains", Rule::drain, made<IgnoresDrains>(), drains},
+      {"fills-from-drained", "an area cache that drains is still named as a source", Rule::drain,
+       made<FillsFromDrained>(), drains},
+      {"takes-cold-for-warm", "a cache that has just started gets its full share", Rule::cold,
+       made<TakesColdForWarm>(), coldCaches},
+      {"takes-cold-area-for-warm", "an area cache that has just started gets all its fills", Rule::cold,
+       made<TakesColdAreaForWarm>(), coldAreas},
+      {"forgets-purges", "purges of objects are not passed on", Rule::purge, made<ForgetsPurges>(), purges},
+      {"forgets-group-purges", "purges of groups are not passed on", Rule::purge, made<ForgetsGroupPurges>(), purges},
+      {"asks-no-age", "no leg says how old a copy may be", Rule::purge, made<AsksNoAge>(), purges},
+      {"holds-refusals", "a refusal is held until near its client's time", Rule::held, made<HoldsRefusals>(), crowd},
+      {"holds-a-while", "a refusal is held for a second", Rule::held, made<HoldsAWhile>(), crowd},
+  };
+  return list;
+}
+
+Verdict judge(const Mutant& m, std::uint64_t seeds) {
+  drill::Script script = drill::readScriptText(m.name, m.drill);
+  Verdict v;
+  for (std::uint64_t seed = 1; seed <= seeds && !v.byItsRule; ++seed) {
+    drill::Options options;
+    options.seed = seed;
+    options.breaker = m.breaker;
+    drill::Outcome o = drill::play(script, options);
+    if (o.kept()) continue;
+    v.caught = true;
+    v.seed = seed;
+    for (const rules::Breach& b : o.breaches)
+      if (b.rule == m.breaks) {
+        v.byItsRule = true, v.first = b;
+        break;
+      }
+    options.breaker = nullptr;
+    v.unbrokenKept = drill::play(script, options).kept();
+  }
+  return v;
+}
+
+}  // namespace dunlinwick::mutants
