--- a/src/drill/run.cpp
+++ b/src/drill/run.cpp
@@ -148,6 +148,7 @@
     stage::Process* process = nullptr;
     std::unique_ptr<MachineSpeaker> speaker;
     bool listed = true;
+    bool toldOfStart = true;
     std::string state = "in_service";
     int successor = 0;
   };
@@ -228,6 +229,7 @@
   void rise(Box& b) {
     if (b.process) return;
     b.make.startedAt = net_.now();
+    b.toldOfStart = false;
     raise(b);
     occur(Moment::coldStart);
     list(b, "in_service", site_.addNotice);
@@ -239,6 +241,7 @@
     e.json = "{\"pool\":{\"version\":1,\"full\":false,\"servers\":[" + listing(b.make, stage::text(b.at), state) + "]}}";
     net_.at(net_.now() + after, [this, &b, e = std::move(e), state = std::string(state)]() mutable {
       b.state = state;
+      b.toldOfStart |= state == "in_service";
       states_[e.fact.other] = {&b, state, e.json};
       publish(std::move(e));
     });
@@ -335,7 +338,9 @@
     f.deed = Deed::ran, f.at = at, f.pull = id, f.thing = thing, f.who = "office";
     see(std::move(f));
   }
-  void coldPush(double share) override {
+  void coldPush(const std::string& machine, double share) override {
+    for (auto& b : boxes_)
+      if (b->make.id == machine && !b->toldOfStart) return;
     Fact f;
     f.deed = Deed::coldPush, f.at = net_.now(), f.number = share;
     checker_.take(f);
@@ -345,7 +350,9 @@
       if (b->make.id != machine || !b->process) continue;
       Fact f;
       f.deed = Deed::pushedOver, f.at = at, f.who = machine, f.number = work, f.limit = limit;
-      see(std::move(f));
+      // It binds fronts that were told of the start. One that nobody was told of falls over all the same.
+      if (b->toldOfStart) see(std::move(f));
+      else outcome_.happened.push_back("            " + machine + " fell over before fronts were told of its start");
       net_.at(net_.now(), [this, box = b.get()] {
         fell(*box, false);
         list(*box, "terminated", site_.notice);
--- a/src/drill/site.cpp
+++ b/src/drill/site.cpp
@@ -16,6 +16,12 @@
   return text;
 }
 
+static world::Witness& nobody() {
+  static struct : world::Witness {
+  } one;
+  return one;
+}
+
 Site siteFor(const Script& script, std::uint64_t seed) {
   world::Dice dice(seed * 2 + 1);
   auto draw = [&](double low, double high) { return between(dice, low, high); };
@@ -40,6 +46,20 @@
     t.offerings.push_back(stamp);
   }
   t.flowKbPerMs = draw(3.6, 11);
+  // A few popular things make up much of what is asked for: their sizes must not move the offering's mean.
+  for (int o = 0; o < static_cast<int>(t.offerings.size()); ++o) {
+    auto& one = t.offerings[static_cast<std::size_t>(o)];
+    if (one.objects == 0) continue;
+    double sum = 0, shares = 0;
+    world::Model model(t, 1, 0, {}, nobody());
+    for (int store = -1; store < script.stores; ++store)
+      for (int rank = 0; rank < one.objects; ++rank) {
+        double share = std::pow(rank + 1, -one.zipf) * (store < 0 ? 1 - one.local : one.local / script.stores);
+        shares += share;
+        sum += share * model.sizeKb(o, world::thingName(o, store, static_cast<std::size_t>(rank)));
+      }
+    one.sizeScale = one.sending * t.flowKbPerMs * shares / sum;
+  }
   t.fillPace = draw(2, 4);
   t.officeAnswers = draw(20, 66);
   t.fillTimeout = draw(1600, 3700);
