--- a/src/ctl/drill.cpp
+++ b/src/ctl/drill.cpp
@@ -2,10 +2,12 @@
 
 #include <unistd.h>
 
+#include <algorithm>
 #include <cstdio>
 #include <filesystem>
 #include <fstream>
 
+#include "drill/hunt.hpp"
 #include "drill/run.hpp"
 #include "mutants.hpp"
 #include "schema/schema.hpp"
@@ -91,6 +93,86 @@
   }
 };
 
+struct List {
+  std::string folder = "drills";
+  int operator()() const {
+    if (!fs::is_directory(folder))
+      throw std::runtime_error(folder + " is no folder; name the one that holds the drills");
+    std::vector<fs::path> files;
+    for (const auto& one : fs::directory_iterator(folder))
+      if (one.path().extension() == ".json") files.push_back(one.path());
+    std::sort(files.begin(), files.end());
+    int code = 0;
+    for (const fs::path& file : files) try {
+        drill::Script s = drill::readScript(file.string());
+        std::printf("%-28s %4.0f s  %3d caches %3d fronts  %s\n", s.name.c_str(), s.length / 1000, s.caches, s.fronts,
+                    s.about.c_str());
+      } catch (const schema::Refused& fault) {
+        std::printf("%s\n", fault.what());
+        code = 1;
+      }
+    return code;
+  }
+};
+
+struct Check {
+  std::string file;
+  bool show = false;
+  int operator()() const {
+    drill::Script s = drill::readScript(file);
+    if (show) std::fputs(drill::written(s).c_str(), stdout);
+    else std::printf("%s: good: %.0f s, %d stores, %d caches, %d area caches, %d fronts, %zu troubles\n", file.c_str(),
+                     s.length / 1000, s.stores, s.caches, s.areas, s.fronts, s.troubles.size());
+    return 0;
+  }
+};
+
+struct Hunt {
+  std::string file, out;
+  drill::HuntOptions options;
+  bool json = false;
+  int operator()() {
+    drill::Script script = drill::readScript(file);
+    bool terminal = ::isatty(STDERR_FILENO);
+    if (terminal)
+      options.progress = [this](std::uint64_t done) {
+        std::fprintf(stderr, "\r%llu of %llu", static_cast<unsigned long long>(done),
+                     static_cast<unsigned long long>(options.seeds));
+      };
+    if (!out.empty()) fs::create_directories(out);
+    drill::Hunted h = drill::hunt(script, options);
+    if (terminal) std::fprintf(stderr, "\r\x1b[K");
+    auto n = [](std::uint64_t v) { return static_cast<unsigned long long>(v); };
+    if (json) {
+      std::printf("{\"played\": %llu, \"failing\": [", n(h.played));
+      for (std::size_t i = 0; i < h.failing.size(); ++i)
+        std::printf("%s{\"seed\": %llu, \"rule\": \"%s\"}", i ? ", " : "", n(h.failing[i].seed),
+                    rules::word(h.failing[i].breaches.front().rule));
+      std::printf("], \"worst\": [");
+      for (std::size_t i = 0; i < h.worst.size(); ++i)
+        std::printf("%s{\"seed\": %llu, \"service\": %.4f}", i ? ", " : "", n(h.worst[i].seed), h.worst[i].service);
+      std::printf("], \"digest\": \"%s\"}\n", drill::hex(h.digest).c_str());
+    } else {
+      std::printf("%s: %llu seeds played, %zu break a rule\n", script.name.c_str(), n(h.played), h.failing.size());
+      for (const drill::Found& f : h.failing) {
+        const rules::Breach& b = f.breaches.front();
+        std::printf("  seed %llu at %.3f s: %s: %s: %s\n", n(f.seed), b.at / 1000, rules::word(b.rule), b.who.c_str(),
+                    b.what.c_str());
+      }
+      for (const drill::Found& f : h.worst) std::printf("  seed %llu: service %.3f\n", n(f.seed), f.service);
+      std::printf("digest %s\n", drill::hex(h.digest).c_str());
+    }
+    for (const auto& s : h.shrunk) {
+      std::string name = s.script.name + ".json";
+      if (!json)
+        std::printf("cut down in %d runs to %zu troubles, %.0f s: %s\n", s.runs, s.script.troubles.size(),
+                    s.script.length / 1000, out.empty() ? "(name a folder with --out to keep it)" : name.c_str());
+      if (!out.empty()) writeWhole(fs::path(out) / name, drill::written(s.script));
+    }
+    return h.failing.empty() ? 0 : 3;
+  }
+};
+
 }  // namespace
 
 void addDrill(CLI::App& app, int& code) {
@@ -105,6 +187,31 @@
   one->add_flag("--logs", run->logs, "with --report: what the fronts say, in fronts.log");
   one->add_flag("--quiet", run->quiet, "no progress");
   one->callback([run, &code] { code = (*run)(); });
+  auto list = std::make_shared<List>();
+  one = drill->add_subcommand("list", "the drills of a folder, a line each");
+  one->add_option("folder", list->folder)->capture_default_str();
+  one->callback([list, &code] { code = (*list)(); });
+  for (bool show : {false, true}) {
+    auto check = std::make_shared<Check>();
+    check->show = show;
+    one = show ? drill->add_subcommand("show", "a script with all that it leaves out filled in")
+               : drill->add_subcommand("check", "whether a script can be played, and if not, where and why");
+    one->add_option("script", check->file)->required();
+    one->callback([check, &code] { code = (*check)(); });
+  }
+  auto hunt = std::make_shared<Hunt>();
+  one = drill->add_subcommand("hunt", "play many seeds; what breaks a rule is cut down; exit 3: something did");
+  one->add_option("script", hunt->file)->required();
+  one->add_option("--seeds", hunt->options.seeds, "how many")->capture_default_str();
+  one->add_option("--first", hunt->options.first, "the first of them")->capture_default_str();
+  one->add_option("--jobs", hunt->options.jobs, "at once; the results do not depend on it")->capture_default_str()->check(CLI::Range(1, 256));
+  one->add_option("--vary", hunt->options.vary,
+                  "times, lengths, counts, shares and factors of the troubles move by up to this share")
+      ->capture_default_str()->check(CLI::Range(0.0, 0.9));
+  one->add_option("--shrink", hunt->options.shrinkMost, "failing scripts to cut down")->capture_default_str();
+  one->add_option("--out", hunt->out, "a folder for what was cut down");
+  one->add_flag("--json", hunt->json);
+  one->callback([hunt, &code] { code = (*hunt)(); });
   auto broken = std::make_shared<Mutants>();
   one = drill->add_subcommand("mutants", "every front broken on purpose, and by which rule it was caught; exit 0: all were");
   one->add_option("--seeds", broken->seeds, "runs until one counts as missed")->capture_default_str();
