--- a/src/drill/cast.hpp
+++ b/src/drill/cast.hpp
@@ -115,6 +115,8 @@
           std::vector<FrontAt> fronts, std::uint64_t seed, Ms start, Ms end);
   ~Clients();
   std::size_t open() const;
+  // A planned stop is known to clients: no new connections from then, no requests on open ones from then.
+  void stopping(const std::string& front, Ms newUntil, Ms until);
   std::string anyPopular();  // a thing that is often asked for
   // ---- troubles
   double crowd = 1;                                   // times the usual rate
@@ -141,6 +143,7 @@
   int store_;
   std::vector<FrontAt> fronts_;
   std::vector<Ms> failingSince_, avoidedUntil_;  // by front
+  std::vector<std::pair<Ms, Ms>> stops_;         // the same
   world::Dice dice_;
   Ms start_, end_;
   std::uint64_t last_ = 0;
--- a/src/rules/rules.cpp
+++ b/src/rules/rules.cpp
@@ -83,7 +83,7 @@
     if (at == pulls_.end()) continue;
     Pull& p = at->second;
     Front& front = fronts_[p.front];
-    if (!p.answered && !p.left && front.up && front.life == p.life) {
+    if (!p.answered && !p.left && front.up && front.life == p.life && due > unheardUntil_) {
       Fact f;
       f.at = due, f.pull = id;
       breach(Rule::answer, f, p.front,
@@ -168,6 +168,7 @@
     }
     case Deed::unseen:
       unseenUntil_ = std::max(unseenUntil_, f.number);
+      if (f.flag) unheardUntil_ = std::max(unheardUntil_, f.number);
       return;
   }
 }
@@ -236,7 +237,7 @@
   if (p.answered) return breach(Rule::answer, f, p.front, "a second answer came");
   p.answered = true;
   nearest_.answerLeft = std::min(nearest_.answerLeft, p.due - f.at);
-  if (f.at > p.due + limits_.slack)
+  if (f.at > p.due + limits_.slack && f.at > unheardUntil_)
     breach(Rule::answer, f, p.front, "the answer came " + whole(f.at - p.due) + " after its client's time");
   bool served = f.status == 200 || f.status == 304;
   if (served) {
--- a/src/rules/rules.hpp
+++ b/src/rules/rules.hpp
@@ -31,7 +31,8 @@
   coldPush,   // number: share of the limit
   frontUp,    // who
   frontDown,  // who: killed; what it held is owed no more
-  unseen      // number: until when legs may be on their way to where nobody sees them
+  unseen      // number: until when legs may be on their way to where nobody sees them; flag: answers too,
+              // by a network that loses or holds up what fronts say
 };
 const char* word(Deed deed);
 
@@ -127,7 +128,7 @@
   void answered(const Fact& f);
 
   Limits limits_;
-  Ms unseenUntil_ = 0;
+  Ms unseenUntil_ = 0, unheardUntil_ = 0;
   std::map<std::string, Pull> pulls_;  // emptied some time after their end
   std::multimap<Ms, std::string> due_;
   std::deque<std::pair<Ms, std::string>> old_;
--- a/src/schema/schema.cpp
+++ b/src/schema/schema.cpp
@@ -124,18 +124,6 @@
     for (auto& one : want->GetArray())
       if (!value->HasMember(one)) return "lacks " + shown(one);
   }
-  if (keyword == "additionalProperties" && value && value->IsObject()) {
-    const rapidjson::Value* known = of("properties");
-    std::vector<std::string> names;
-    if (known)
-      for (auto& one : known->GetObject()) names.push_back(one.name.GetString());
-    for (auto& one : value->GetObject()) {
-      std::string name = one.name.GetString();
-      if (std::find(names.begin(), names.end(), name) != names.end()) continue;
-      std::string near = nearest(name, names);
-      return "unknown field \"" + name + "\"" + (near.empty() ? "" : "; did you mean \"" + near + "\"?");
-    }
-  }
   if (keyword == "minItems") return "has too few entries";
   if (keyword == "maxItems") return "has too many entries";
   if (keyword == "pattern" && want) return is + " is not of the form " + shown(*want);
@@ -224,11 +212,16 @@
   const rapidjson::Value* value = validator.GetInvalidDocumentPointer().Get(root_);
   std::string keyword = validator.GetInvalidSchemaKeyword() ? validator.GetInvalidSchemaKeyword() : "";
   std::string reason = why(keyword, rule, value);
-  // An unknown name: the line of that name's value, not of the object it stands in.
-  if (keyword == "additionalProperties" && value && value->IsObject()) {
-    std::size_t from = reason.find('"') + 1;
-    std::string name = reason.substr(from, reason.find('"', from) - from);
-    throw Refused({{file_, lineOf(pointer + "/" + name), pointer, reason}});
+  // An unknown name: it is the pointer's last part, and what is known stands in the rule.
+  if (keyword == "additionalProperties") {
+    std::size_t slash = pointer.rfind('/');
+    std::string name = pointer.substr(slash + 1);
+    std::vector<std::string> names;
+    if (rule && rule->IsObject() && rule->HasMember("properties"))
+      for (auto& one : (*rule)["properties"].GetObject()) names.push_back(one.name.GetString());
+    std::string near = nearest(name, names);
+    reason = "unknown field \"" + name + "\"" + (near.empty() ? "" : "; did you mean \"" + near + "\"?");
+    throw Refused({{file_, lineOf(pointer), pointer.substr(0, slash), reason}});
   }
   throw Refused({{file_, lineOf(pointer), pointer, reason}});
 }
