Drills also play on loopback sockets with real processes of the front

Change: drill::Scene; the staged ground is one, loopback the other: machines, boards and clients in one process, a child for each front.

--- a/src/ctl/drill.cpp
+++ b/src/ctl/drill.cpp
@@ -9,6 +9,7 @@
 
 #include "drill/hunt.hpp"
 #include "drill/run.hpp"
+#include "drill/scene.hpp"
 #include "mutants.hpp"
 #include "schema/schema.hpp"
 
@@ -30,7 +31,7 @@
 }
 
 struct Run {
-  std::string file, out;
+  std::string file, out, on = "stage", program;
   std::uint64_t seed = 1;
   bool json = false, logs = false, quiet = false;
 
@@ -46,11 +47,24 @@
       options.trace = &trace;
       if (logs) said.open(fs::path(out) / "fronts.log"), options.logs = &said;
     }
+    std::string scratch;
+    if (on == "sockets") {
+      if (std::string what = drill::notOnSockets(script); !what.empty())
+        throw std::runtime_error(file + ": \"" + what + "\" is of the network and plays on the stage only");
+      options.program = program.empty() ? (fs::read_symlink("/proc/self/exe").parent_path() / "dunlinwick").string() : program;
+      options.folder = out;
+      if (out.empty()) {
+        std::string name = (fs::temp_directory_path() / "dunlinctl-XXXXXX").string();
+        if (!::mkdtemp(name.data())) throw std::runtime_error("no folder for the fronts' files");
+        options.folder = scratch = name;
+      }
+    }
     bool terminal = ::isatty(STDERR_FILENO) && !quiet;
     if (terminal)
       options.progress = [](double done) { std::fprintf(stderr, "\r%3.0f %%", 100 * done); };
     drill::Outcome o = drill::play(script, options);
     if (terminal) std::fprintf(stderr, "\r     \r");
+    if (!scratch.empty()) fs::remove_all(scratch);
     if (!out.empty()) {
       trace.close();
       fs::rename(fs::path(out) / "trace.part", fs::path(out) / "trace");
@@ -183,6 +197,9 @@
   one->add_option("script", run->file, "the drill, JSON with comments")->required();
   one->add_option("--seed", run->seed, "all chance follows from it")->capture_default_str();
   one->add_option("--report", run->out, "a folder for report.json, drill.json and the trace");
+  one->add_option("--on", run->on, "stage: virtual time; sockets: loopback, real processes, real time")
+      ->check(CLI::IsMember({"stage", "sockets"}))->capture_default_str();
+  one->add_option("--program", run->program, "with --on sockets: the front's program; else the one beside this");
   one->add_flag("--json", run->json, "the report as JSON in place of the table");
   one->add_flag("--logs", run->logs, "with --report: what the fronts say, in fronts.log");
   one->add_flag("--quiet", run->quiet, "no progress");
--- a/src/drill/report.cpp
+++ b/src/drill/report.cpp
@@ -71,7 +71,7 @@
                  b.pull.empty() ? "" : " pull ", b.pull.c_str(), b.what.c_str());
   }
   if (o.kept()) out += "\n  all rules kept\n";
-  return out + "digest " + hex(o.digest) + "\n";
+  return o.events > 0 ? out + "digest " + hex(o.digest) + "\n" : out + "on sockets: no digest\n";
 }
 
 std::string report(const Outcome& o) {
@@ -83,7 +83,8 @@
   auto count = [&](const char* name, std::uint64_t v) { w.Key(name), w.Uint64(v); };
   const Takings& t = o.takings;
   w.StartObject();
-  text("drill", o.drill), count("seed", o.seed), text("digest", hex(o.digest));
+  text("drill", o.drill), count("seed", o.seed), text("played_on", o.events > 0 ? "stage" : "sockets");
+  if (o.events > 0) text("digest", hex(o.digest));
   w.Key("rules_kept"), w.Bool(o.kept());
   number("played_s", o.played / 1000), count("events", o.events);
   w.Key("service"), w.StartObject();
--- a/src/drill/run.cpp
+++ b/src/drill/run.cpp
@@ -4,9 +4,8 @@
 #include <chrono>
 #include <cmath>
 
+#include "drill/scene.hpp"
 #include "drill/site.hpp"
-#include "front/front.hpp"
-#include "stage/stage.hpp"
 
 namespace dunlinwick::drill {
 
@@ -18,40 +17,37 @@
 
 constexpr Ms second = 1000;
 // Hosts by what stands there.
-constexpr std::uint32_t frontNet = 0x0a000000, storeNet = 0x0a010000, hubNet = 0x0a020000, boardHost = 0x0a030001,
-                        clientNet = 0x0a040000;
+constexpr std::uint32_t frontNet = 0x000000, storeNet = 0x010000, hubNet = 0x020000, boardHost = 0x030001,
+                        clientNet = 0x040000;
 
 class Stage final : world::Witness {
  public:
-  Stage(const Script& script, const Options& options)
+  Stage(const Script& script, const Options& options, Scene& scene)
       : script_(script),
         options_(options),
         site_(siteFor(script, options.seed)),
-        net_(options.seed),
-        start_(net_.now()),
-        clientsFrom_(start_ + 500),
+        scene_(scene),
+        net_(scene.net()),
+        start_(scene.now()),
+        clientsFrom_(start_ + (scene.net() ? 500 : 2000)),  // real processes take a moment to start
         end_(clientsFrom_ + script.length),
         dice_(options.seed * 3 + 2),
         checker_(limitsFor(script, options.seed)),
         model_(
             site_.terms, options.seed * 5 + 3, start_,
-            [this](Ms when, std::function<void()> what) { net_.at(when, std::move(what)); }, *this) {
-    net_.setChoppy(script.choppy);
-    if (options.logs)
-      net_.onLog([this](const stage::Process& p, std::string_view line) {
-        *options_.logs << static_cast<long long>(net_.now() - clientsFrom_) << " " << p.name() << ": " << line << "\n";
-      });
-    layMap();
+            [this](Ms when, std::function<void()> what) { scene_.at(when, std::move(what)); }, *this) {
+    if (net_) net_->setChoppy(script.choppy);
+    if (net_) layMap();
     for (std::size_t k = 0; k < site_.linkCapacity.size(); ++k)
       model_.setLink(static_cast<int>(k), site_.linkCapacity[k]);
     std::uint32_t number = 0;
     for (const world::Make& make : site_.makes) {
       ++number;
       std::uint32_t host = (make.grade == Grade::store ? storeNet : hubNet) + number;
-      net_.place(host, make.grade == Grade::store ? make.store + 1 : 0);
+      place(host, make.grade == Grade::store ? make.store + 1 : 0);
       boxes_.push_back(std::make_unique<Box>());
       Box& b = *boxes_.back();
-      b.make = make, b.host = host, b.at = stage::address(host, 5050);
+      b.make = make, b.host = host, b.at = scene_.address(host, 5050);
       raise(b);
     }
     number = 0;
@@ -59,10 +55,10 @@
       ++number;
       hosts_.push_back(std::make_unique<Host>());
       Host& h = *hosts_.back();
-      h.front = f, h.host = frontNet + number, h.at = stage::address(h.host, 8080);
-      h.boardAt = stage::address(boardHost, static_cast<std::uint16_t>(4222 + number));
-      net_.place(h.host, f.store + 1);
-      h.boardProcess = &net_.start(boardHost, "board-" + std::to_string(number));
+      h.front = f, h.host = frontNet + number, h.at = scene_.address(h.host, 8080);
+      h.boardAt = scene_.address(boardHost, static_cast<std::uint16_t>(4222 + number));
+      place(h.host, f.store + 1);
+      h.boardProcess = &scene_.start(boardHost, "board-" + std::to_string(number));
       h.boardProcess->act([&] {
         h.board = std::make_unique<BoardSpeaker>(h.boardProcess->loop(), h.boardAt, 2,
                                                  [this, &h](std::uint64_t event) { told(h, event); });
@@ -71,8 +67,8 @@
     for (auto& h : hosts_) begin(*h);
     for (std::size_t k = 0; k < site_.traffic.size(); ++k) {
       std::uint32_t host = clientNet + static_cast<std::uint32_t>(k) + 1;
-      net_.place(host, script_.stores + 1 + static_cast<int>(k));
-      stage::Process& p = net_.start(host, "clients-" + std::to_string(k + 1));
+      place(host, script_.stores + 1 + static_cast<int>(k));
+      Player& p = scene_.start(host, "clients-" + std::to_string(k + 1));
       crowds_.push_back({&p, nullptr});
       ClientTerms terms;
       terms.pullsPerS = site_.pullsPerS * site_.traffic[k];
@@ -91,24 +87,23 @@
     }
     for (std::size_t i = 0; i < script.troubles.size(); ++i) {
       const Trouble& t = script.troubles[i];
-      if (t.when == Moment::none) net_.at(clientsFrom_ + t.at, [this, &t] { befall(t); });
+      if (t.when == Moment::none) scene_.at(clientsFrom_ + t.at, [this, &t] { befall(t); });
     }
     armed_.assign(script.troubles.size(), true);
   }
 
   ~Stage() {
     for (auto& h : hosts_) {
-      if (h->process) net_.vanish(*h->process);
       h->served.reset();
-      net_.vanish(*h->boardProcess);
+      scene_.vanish(*h->boardProcess);
       h->board.reset();
     }
     for (auto& b : boxes_) {
-      if (b->process) net_.vanish(*b->process);
+      if (b->process) scene_.vanish(*b->process);
       b->speaker.reset();
     }
     for (auto& c : crowds_) {
-      net_.vanish(*c.process);
+      scene_.vanish(*c.process);
       c.clients.reset();
     }
   }
@@ -118,18 +113,17 @@
     constexpr Ms after = 6000;                      // the longest expiry and a little
     for (Ms t = start_; t < end_ + after;) {
       t = std::min(t + second, end_ + after);
-      net_.runUntil(t);
+      scene_.runUntil(t);
       look();
       if (options_.progress) options_.progress((t - start_) / (end_ + after - start_));
       if (options_.stopAtBreach && !checker_.kept()) break;
     }
-    checker_.finish(net_.now());
+    checker_.finish(scene_.now());
     Outcome o = std::move(outcome_);
     o.drill = script_.name;
     o.seed = options_.seed;
-    o.digest = net_.digest();
-    o.events = net_.events();
-    o.played = net_.now() - start_;
+    if (net_) o.digest = net_->digest(), o.events = net_->events();
+    o.played = scene_.now() - start_;
     o.tookS = std::chrono::duration<double>(std::chrono::steady_clock::now() - began).count();
     o.breaches = checker_.breaches();
     for (rules::Breach& b : o.breaches) b.at -= clientsFrom_;
@@ -145,7 +139,7 @@
     world::Make make;
     std::uint32_t host = 0;
     loop::Address at{};
-    stage::Process* process = nullptr;
+    Player* process = nullptr;
     std::unique_ptr<MachineSpeaker> speaker;
     bool listed = true;
     bool toldOfStart = true;
@@ -156,14 +150,14 @@
     SiteFront front;
     std::uint32_t host = 0;
     loop::Address at{}, boardAt{};
-    stage::Process *process = nullptr, *boardProcess = nullptr;
+    Player* boardProcess = nullptr;
     std::unique_ptr<BoardSpeaker> board;
-    std::unique_ptr<front::Front> served;
+    std::unique_ptr<Served> served;
     int starts = 0;
     bool stopping = false;
   };
   struct Crowd {
-    stage::Process* process;
+    Player* process;
     std::unique_ptr<Clients> clients;
   };
   struct Event {  // of the boards
@@ -181,12 +175,16 @@
     checker_.take(f);
   }
 
+  std::uint32_t addressed(std::uint32_t host) { return ntohl(scene_.address(host, 1).sin_addr.s_addr); }
+  void place(std::uint32_t host, int site) {
+    if (net_) net_->place(addressed(host), site);
+  }
   void layMap() {
     int stores = script_.stores;
     auto join = [&](int a, int b, Ms latency) {
       stage::Way w;
       w.latency = latency, w.jitter = 0.25;
-      net_.join(a, b, w), net_.join(b, a, w);
+      net_->join(a, b, w), net_->join(b, a, w);
     };
     join(0, 0, site_.storeWay);
     for (int a = 1; a <= stores; ++a) {
@@ -200,13 +198,13 @@
   // ---- machines
 
   void raise(Box& b) {
-    b.process = &net_.start(b.host, b.make.id);
+    b.process = &scene_.start(b.host, b.make.id);
     model_.add(b.make);
     MachineSpeaker::Setup setup;
     setup.id = b.make.id, setup.at = b.at, setup.bytesPerKb = script_.bytesPerKb;
     setup.seed = options_.seed * 77 + b.host + static_cast<std::uint64_t>(b.successor);
     for (auto& o : site_.terms.offerings) setup.offerings.push_back(o.name);
-    stage::Process* p = b.process;
+    Player* p = b.process;
     p->act([&] {
       b.speaker = std::make_unique<MachineSpeaker>(
           p->loop(), [p](const std::function<void()>& what) { p->act(what); }, model_, teller(), std::move(setup));
@@ -214,21 +212,21 @@
   }
   void fell(Box& b, bool silently) {
     if (!b.process) return;
-    model_.remove(net_.now(), b.make.id);
-    if (silently) net_.vanish(*b.process), see(unseen(12000));
-    else net_.kill(*b.process);
+    model_.remove(scene_.now(), b.make.id);
+    if (silently) scene_.vanish(*b.process), see(unseen(12000));
+    else scene_.kill(*b.process);
     b.speaker.reset();
     b.process = nullptr;
   }
   Fact unseen(Ms lasts) {
     Fact f;
-    f.deed = Deed::unseen, f.at = net_.now(), f.number = net_.now() + lasts;
+    f.deed = Deed::unseen, f.at = scene_.now(), f.number = scene_.now() + lasts;
     return f;
   }
   // A new process there, cold and empty.
   void rise(Box& b) {
     if (b.process) return;
-    b.make.startedAt = net_.now();
+    b.make.startedAt = scene_.now();
     b.toldOfStart = false;
     raise(b);
     occur(Moment::coldStart);
@@ -239,7 +237,7 @@
     e.fact.deed = Deed::listed, e.fact.other = b.make.id;
     e.fact.word = std::string(state) == "in_service" ? "ready" : std::string(state) == "terminating" ? "draining" : "gone";
     e.json = "{\"pool\":{\"version\":1,\"full\":false,\"servers\":[" + listing(b.make, stage::text(b.at), state) + "]}}";
-    net_.at(net_.now() + after, [this, &b, e = std::move(e), state = std::string(state)]() mutable {
+    scene_.at(scene_.now() + after, [this, &b, e = std::move(e), state = std::string(state)]() mutable {
       b.state = state;
       b.toldOfStart |= state == "in_service";
       states_[e.fact.other] = {&b, state, e.json};
@@ -250,7 +248,7 @@
   // ---- boards
 
   void publish(Event e) {
-    e.publishedAt = net_.now();
+    e.publishedAt = scene_.now();
     events_.push_back(std::move(e));
     for (auto& h : hosts_) {
       std::string json = events_.back().json;
@@ -261,7 +259,7 @@
   }
   void told(Host& h, std::uint64_t number) {
     Fact f = events_[number - 2].fact;
-    f.who = h.front.name, f.at = net_.now();
+    f.who = h.front.name, f.at = scene_.now();
     see(std::move(f));
   }
 
@@ -276,15 +274,15 @@
     for (auto& b : boxes_) {
       if (b->state == "in_service" || !b->listed) continue;
       Fact f;
-      f.deed = Deed::listed, f.at = net_.now(), f.who = h.front.name, f.other = b->make.id;
+      f.deed = Deed::listed, f.at = scene_.now(), f.who = h.front.name, f.other = b->make.id;
       f.word = b->state == "terminating" ? "draining" : "gone";
       see(std::move(f));
     }
     for (const Event& e : events_) {
-      if (e.fact.deed != Deed::purged || e.fact.number < net_.now() - site_.terms.purgeDone) continue;
+      if (e.fact.deed != Deed::purged || e.fact.number < scene_.now() - site_.terms.purgeDone) continue;
       notices += ",{\"rev\":" + rev + "," + e.json.substr(1);
       Fact f = e.fact;
-      f.at = net_.now(), f.who = h.front.name;
+      f.at = scene_.now(), f.who = h.front.name;
       see(std::move(f));
     }
     return "{\"rev\":" + rev + ",\"notices\":[" + notices + "]}";
@@ -293,39 +291,28 @@
   // ---- fronts
 
   void begin(Host& h) {
-    if (h.process) return;
+    if (h.served) return;
     Fact up;
-    up.deed = Deed::frontUp, up.at = net_.now(), up.who = h.front.name;
+    up.deed = Deed::frontUp, up.at = scene_.now(), up.who = h.front.name;
     see(std::move(up));
-    h.process = &net_.start(h.host, h.front.name, script_.descriptors);
     h.stopping = false;
     std::uint64_t seed = options_.seed * 7919 + h.host * 31 + static_cast<std::uint64_t>(h.starts);
     std::string text = configuration(script_, site_, h.front, stage::text(h.at), stage::text(h.boardAt), seed, known(h));
-    front::Charter charter = front::readCharterText(text, h.front.name, "");
-    exchange::Decider module = exchange::moduleFor(charter.sheet, charter.seed);
-    if (options_.breaker) {
-      std::shared_ptr<Break> broken = options_.breaker();
-      module = [broken, inner = broken->around(std::move(module), charter.sheet)](Ms now, const ::dunlinwick::Event& e) {
-        return inner(now, e);
-      };
-      if (broken->sends()) h.process->tamper = [broken](std::string bytes) { return broken->sent(std::move(bytes)); };
-    }
-    h.process->act([&] { h.served = std::make_unique<front::Front>(h.process->loop(), charter, std::move(module)); });
+    h.served = scene_.serve(h.host, h.front.name, text, script_.descriptors,
+                            options_.breaker ? options_.breaker() : nullptr);
     if (h.starts++ > 0) occur(Moment::frontBack);
   }
   void kill(Host& h) {
-    if (!h.process) return;
+    if (!h.served) return;
     Fact down;
-    down.deed = Deed::frontDown, down.at = net_.now(), down.who = h.front.name;
+    down.deed = Deed::frontDown, down.at = scene_.now(), down.who = h.front.name;
     see(std::move(down));
-    net_.kill(*h.process);
     h.served.reset();
-    h.process = nullptr;
   }
   // Fronts that were asked to stop and have: their successors start.
   void look() {
     for (auto& h : hosts_)
-      if (h->stopping && h->process && h->process->loop().stopped()) {
+      if (h->stopping && h->served && h->served->ended()) {
         kill(*h);
         begin(*h);
         for (Clients* c : clients()) c->stopping(h->front.name, 1e18, 1e18);
@@ -343,7 +330,7 @@
     for (auto& b : boxes_)
       if (b->make.id == machine && !b->toldOfStart) return;
     Fact f;
-    f.deed = Deed::coldPush, f.at = net_.now(), f.number = share;
+    f.deed = Deed::coldPush, f.at = scene_.now(), f.number = share;
     checker_.take(f);
   }
   void pushedOver(Ms at, const std::string& machine, double work, double limit) override {
@@ -354,7 +341,7 @@
       // It binds fronts that were told of the start. One that nobody was told of falls over all the same.
       if (b->toldOfStart) see(std::move(f));
       else outcome_.happened.push_back("            " + machine + " fell over before fronts were told of its start");
-      net_.at(net_.now(), [this, box = b.get()] {
+      scene_.at(scene_.now(), [this, box = b.get()] {
         fell(*box, false);
         list(*box, "terminated", site_.notice);
       });
@@ -367,9 +354,9 @@
   void occur(Moment moment) {
     for (std::size_t i = 0; i < script_.troubles.size(); ++i) {
       const Trouble& t = script_.troubles[i];
-      if (t.when != moment || i >= armed_.size() || !armed_[i] || net_.now() < clientsFrom_) continue;
+      if (t.when != moment || i >= armed_.size() || !armed_[i] || scene_.now() < clientsFrom_) continue;
       armed_[i] = false;
-      net_.at(net_.now() + t.at, [this, &t] { befall(t); });
+      scene_.at(scene_.now() + t.at, [this, &t] { befall(t); });
     }
   }
 
@@ -393,7 +380,7 @@
     });
   }
   std::vector<Host*> hostsFor(const Trouble& t) {
-    return chosen(hosts_, t, [&](const Host& h) { return h.process && (t.whom == "front" || t.whom == h.front.name); });
+    return chosen(hosts_, t, [&](const Host& h) { return h.served && (t.whom == "front" || t.whom == h.front.name); });
   }
   std::vector<Clients*> clients() {
     std::vector<Clients*> all;
@@ -402,10 +389,10 @@
   }
   void note(const Trouble& t, const std::string& whom) {
     char at[40];
-    std::snprintf(at, sizeof at, "%8.3f s  ", (net_.now() - clientsFrom_) / second);
+    std::snprintf(at, sizeof at, "%8.3f s  ", (scene_.now() - clientsFrom_) / second);
     outcome_.happened.push_back(at + std::string(word(t.what)) + (whom.empty() ? "" : " " + whom));
   }
-  void until(Ms lasts, std::function<void()> what) { net_.at(net_.now() + lasts, std::move(what)); }
+  void until(Ms lasts, std::function<void()> what) { scene_.at(scene_.now() + lasts, std::move(what)); }
 
   // Told to go, gone after its time; with a successor there under a new id, or none.
   void drain(Box& b, Ms lasts, bool back) {
@@ -426,7 +413,7 @@
   }
 
   void befall(const Trouble& t) {
-    Ms now = net_.now();
+    Ms now = scene_.now();
     auto forAll = [&](auto what) {
       for (Box* b : boxesFor(t)) note(t, b->make.id), what(*b);
     };
@@ -442,7 +429,7 @@
       case What::slow:
         forAll([&](Box& b) {
           model_.slow(now, b.make.id, t.factor);
-          until(t.lasts, [this, &b] { model_.slow(net_.now(), b.make.id, 1); });
+          until(t.lasts, [this, &b] { model_.slow(scene_.now(), b.make.id, 1); });
         });
         return;
       case What::ageing:
@@ -450,7 +437,7 @@
           constexpr int steps = 10;
           for (int i = 1; i <= steps; ++i)
             until(t.lasts * i / steps, [this, &b, f = 1 + (t.factor - 1) * i / steps, life = b.process] {
-              if (b.process == life) model_.slow(net_.now(), b.make.id, f);
+              if (b.process == life) model_.slow(scene_.now(), b.make.id, f);
             });
           until(t.lasts + 1, [this, &b] {
             fell(b, false);
@@ -520,8 +507,8 @@
         for (int k = 1; k <= script_.stores; ++k)
           for (int other : {0, k, script_.stores + k})
             for (auto [a, b] : {std::pair{k, other}, std::pair{other, k}}) {
-              net_.way(a, b).lost = t.share;
-              until(t.lasts, [this, a = a, b = b] { net_.way(a, b).lost = 0; });
+              net_->way(a, b).lost = t.share;
+              until(t.lasts, [this, a = a, b = b] { net_->way(a, b).lost = 0; });
             }
         {
           Fact f = unseen(t.lasts + 3000);
@@ -571,7 +558,7 @@
             Ms fresh = now + world::between(dice_, 200, 400);
             c->stopping(h->front.name, fresh, fresh + 200);
           }
-          h->process->act([h] { h->served->stop(); });
+          h->served->stop();
         }
         return;
       case What::boardBreak:
@@ -607,11 +594,11 @@
     see(std::move(f));
     for (std::uint32_t host : hosts) {
       if (t.what == What::lag) {
-        net_.setLag(host, t.late);
-        until(t.lasts, [this, host] { net_.setLag(host, 0); });
+        net_->setLag(addressed(host), t.late);
+        until(t.lasts, [this, host] { net_->setLag(addressed(host), 0); });
       } else {
-        net_.setCut(host, t.what == What::cut, true);
-        until(t.lasts, [this, host] { net_.setCut(host, false, false); });
+        net_->setCut(addressed(host), t.what == What::cut, true);
+        until(t.lasts, [this, host] { net_->setCut(addressed(host), false, false); });
       }
     }
   }
@@ -619,7 +606,8 @@
   const Script& script_;
   const Options& options_;
   Site site_;
-  stage::Net net_;
+  Scene& scene_;
+  stage::Net* net_;  // null on sockets
   Ms start_, clientsFrom_, end_;
   world::Dice dice_;
   rules::Checker checker_;
@@ -653,6 +641,13 @@
   return l;
 }
 
-Outcome play(const Script& script, const Options& options) { return Stage(script, options).play(); }
+Outcome play(const Script& script, const Options& options) {
+  if (options.program.empty()) {
+    auto scene = staged(options.seed, options.logs);
+    return Stage(script, options, *scene).play();
+  }
+  auto scene = onSockets(options.program, options.folder);
+  return Stage(script, options, *scene).play();
+}
 
 }  // namespace dunlinwick::drill
--- a/src/drill/run.hpp
+++ b/src/drill/run.hpp
@@ -29,6 +29,8 @@
   std::ostream* trace = nullptr;               // facts, a line each
   std::ostream* logs = nullptr;                // what fronts say
   bool stopAtBreach = false;
+  // On loopback sockets, in real time: the front's program, and a folder for its configurations and logs.
+  std::string program, folder;
 };
 
 struct Outcome {
