--- a/src/drill/run.cpp
+++ b/src/drill/run.cpp
@@ -239,7 +239,7 @@
     e.json = "{\"pool\":{\"version\":1,\"full\":false,\"servers\":[" + listing(b.make, stage::text(b.at), state) + "]}}";
     scene_.at(scene_.now() + after, [this, &b, e = std::move(e), state = std::string(state)]() mutable {
       b.state = state;
-      b.toldOfStart |= state == "in_service";
+      if (state == "in_service" && !std::exchange(b.toldOfStart, true)) model_.startTold(b.make.id);
       states_[e.fact.other] = {&b, state, e.json};
       publish(std::move(e));
     });
--- a/src/world/model.cpp
+++ b/src/world/model.cpp
@@ -644,6 +644,11 @@
   leave(*at->second, work, now);
 }
 
+void Model::startTold(const std::string& machine) {
+  if (auto at = machines_.find(machine); at != machines_.end() && at->second->make.grade != Grade::office)
+    at->second->pushes.clear(), at->second->pushed = 0;
+}
+
 // ---- troubles
 
 void Model::stall(Ms now, const std::string& machine, Ms until) {
--- a/src/world/model.hpp
+++ b/src/world/model.hpp
@@ -139,6 +139,9 @@
   Load load(Ms now, const std::string& machine);  // as the machine would report it
   void purge(Ms now, bool wholeGroup, const std::string& thing, int group);
 
+  // Fronts are told from now on that it started: what came before does not count against them.
+  void startTold(const std::string& machine);
+
   // ---- troubles
   void stall(Ms now, const std::string& machine, Ms until);      // does nothing till then
   void slow(Ms now, const std::string& machine, double factor);  // of its pace; 1: as it should
