--- a/src/ctl/drill.cpp
+++ b/src/ctl/drill.cpp
@@ -6,6 +6,7 @@
 #include <cstdio>
 #include <filesystem>
 #include <fstream>
+#include <set>
 
 #include "drill/hunt.hpp"
 #include "drill/run.hpp"
@@ -77,7 +78,8 @@
 };
 
 struct Mutants {
-  std::uint64_t seeds = 10;
+  std::uint64_t seeds = 10, unbroken = 0;
+  int jobs = 1;
   bool json = false;
 
   int operator()() const {
@@ -102,6 +104,19 @@
       if (v.byItsRule && !v.unbrokenKept) out += "        but the unbroken front breaks a rule there too\n";
     }
     if (::isatty(STDERR_FILENO)) std::fprintf(stderr, "\r\x1b[K");
+    std::set<std::string> scripts;
+    for (const mutants::Mutant& m : mutants::all()) {
+      if (unbroken == 0 || !scripts.insert(m.drill).second) continue;
+      drill::HuntOptions options;
+      options.seeds = unbroken, options.jobs = jobs, options.shrinkRuns = 0;
+      drill::Hunted h = drill::hunt(drill::readScriptText(m.name, m.drill), options);
+      all &= h.failing.empty();
+      if (!json)
+        out += "the unbroken front in the drill of " + m.name + ": " + std::to_string(h.played) + " seeds, " +
+               std::to_string(h.failing.size()) + " break a rule\n";
+      for (const drill::Found& f : h.failing)
+        if (!json) out += "        seed " + std::to_string(f.seed) + ": " + f.breaches.front().what + "\n";
+    }
     std::fputs((json ? out + "\n]\n" : out).c_str(), stdout);
     return all ? 0 : 3;
   }
@@ -232,6 +247,9 @@
   auto broken = std::make_shared<Mutants>();
   one = drill->add_subcommand("mutants", "every front broken on purpose, and by which rule it was caught; exit 0: all were");
   one->add_option("--seeds", broken->seeds, "runs until one counts as missed")->capture_default_str();
+  one->add_option("--unbroken", broken->unbroken, "play the unbroken front on so many seeds of each of their drills, too")
+      ->capture_default_str();
+  one->add_option("--jobs", broken->jobs, "at once, for --unbroken")->capture_default_str()->check(CLI::Range(1, 256));
   one->add_flag("--json", broken->json, "as JSON in place of lines");
   one->callback([broken, &code] { code = (*broken)(); });
 }
--- a/src/drill/report.cpp
+++ b/src/drill/report.cpp
@@ -26,6 +26,12 @@
 
 }  // namespace
 
+double Outcome::points() const {
+  double links = askedKb > 0 ? bytes.links / askedKb : 0, office = askedKb > 0 ? bytes.office / askedKb : 0;
+  return 0.4 * takings.service() + 0.4 * takings.worstTen() + 0.2 * takings.worstOffering().second - 0.06 * links -
+         0.24 * wasted() - 0.048 * office;
+}
+
 std::string hex(std::uint64_t digest) { return print("%016llx", static_cast<unsigned long long>(digest)); }
 
 std::string table(const Outcome& o) {
@@ -35,7 +41,8 @@
                static_cast<unsigned long long>(o.seed), o.played / 1000, o.tookS, o.played / 1000 / std::max(1e-9, o.tookS),
                static_cast<unsigned long long>(o.events));
   for (const std::string& one : o.happened) out += "  " + one + "\n";
-  out += print("\n  service            %.3f   worst 10 s %.3f\n", t.service(), t.worstTen());
+  out += print("\n  service            %.3f   worst 10 s %.3f   points by the brief %.3f\n", t.service(), t.worstTen(),
+               o.points());
   for (std::size_t i = 0; i < o.offerings.size(); ++i) {
     const auto& s = t.byOffering[i];
     out += print("    %-16s %.3f   %llu pulls\n", o.offerings[i].c_str(), s.asked > 0 ? s.got / s.asked : 1.0,
@@ -51,8 +58,8 @@
                static_cast<unsigned long long>(t.lateFailures));
   out += print("  finished within: half %.0f ms, 9 in 10 %.0f ms, 99 in 100 %.0f ms\n", quantile(t.took, 0.5),
                quantile(t.took, 0.9), quantile(t.took, 0.99));
-  out += print("  legs %llu; work wasted %.4f of what was done; from the head office %.0f MB, over the links %.0f MB\n",
-               static_cast<unsigned long long>(o.legs), o.wasted(), o.bytes.office / 1000, o.bytes.links / 1000);
+  out += print("  legs %llu; work wasted %.4f of what was done; from the head office %.0f MB, over the links %.0f MB of %.0f MB\n",
+               static_cast<unsigned long long>(o.legs), o.wasted(), o.bytes.office / 1000, o.bytes.links / 1000, o.askedKb / 1000);
   const rules::Nearest& n = o.nearest;
   out += "  nearest to each limit:\n";
   out += print("    answers: %.0f ms of a client's time left\n", n.answerLeft > 1e8 ? 0.0 : n.answerLeft);
@@ -88,7 +95,7 @@
   w.Key("rules_kept"), w.Bool(o.kept());
   number("played_s", o.played / 1000), count("events", o.events);
   w.Key("service"), w.StartObject();
-  number("whole", t.service()), number("worst_10_s", t.worstTen());
+  number("whole", t.service()), number("worst_10_s", t.worstTen()), number("points", o.points());
   w.Key("by_offering"), w.StartObject();
   for (std::size_t i = 0; i < o.offerings.size(); ++i)
     number(o.offerings[i].c_str(), t.byOffering[i].asked > 0 ? t.byOffering[i].got / t.byOffering[i].asked : 1);
--- a/src/drill/run.cpp
+++ b/src/drill/run.cpp
@@ -130,6 +130,7 @@
     for (int i = 0; i < 6; ++i) o.counts[i] = checker_.count(static_cast<rules::Rule>(i));
     o.nearest = checker_.nearest();
     o.bytes = model_.bytes;
+    o.askedKb = o.bytes.asked * site_.terms.flowKbPerMs;
     for (auto& one : site_.terms.offerings) o.offerings.push_back(one.name);
     return o;
   }
--- a/src/drill/run.hpp
+++ b/src/drill/run.hpp
@@ -44,9 +44,12 @@
   Takings takings;
   std::vector<std::string> offerings;
   world::Model::Bytes bytes;
-  double askedKb = 0;
+  double askedKb = 0;  // as many as clients were answered with
   std::uint64_t legs = 0;
   bool kept() const { return breaches.empty(); }
+  // Points by the brief's weights and penalties: 1 at most. Not the operators' score, which sets it between a floor
+  // and a top of its own.
+  double points() const;
   double wasted() const { return bytes.asked > 0 ? bytes.wasted / bytes.asked : 0; }
   std::vector<std::string> happened;  // troubles as they came, with their times
 };
