--- /dev/null
+++ b/src/changes/ledger.hpp
@@ -0,0 +1,152 @@
+// The life of a front's configurations: proposed, staged, applied, confirmed or undone. Pure: time and events in,
+// actions out, in order; an action that records must last before the next one is carried out.
+//
+// What it promises, whatever is lost, late or killed:
+// - One generation serves at any time, whole. A pull keeps the one it began with (the exchange's part; `release`
+//   tells when its last pull has ended).
+// - A generation that nobody confirms is undone when its lease ends, by this front's own clock, with no word from
+//   anywhere. A front that starts serves the last confirmed one.
+// - A proposal names the generation it is based on. Another that was confirmed meanwhile refuses it.
+// - Each coordinator's word carries a fence; a word with a lower fence than was heard before is refused, so that a
+//   coordinator that was taken for dead can't speak over its successor.
+//
+// After Junos' `commit confirmed` (a change that nobody confirms undoes itself) and Knot DNS' transactions (begin,
+// diff, commit, abort); fences as in Gray and Cheriton's leases and their later use.
+#pragma once
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace dunlinwick::changes {
+
+using Ms = double;
+using Generation = std::uint64_t;  // counted from 1 by each front; 0: the one of the start, without an operators' file
+
+enum class State { staged, applied, kept, undone, dropped };
+const char* word(State state);
+
+// Why something was refused or undone.
+enum class Why {
+  none,
+  notNext,        // it is based on a generation that is not the one confirmed
+  busy,           // another is applied and not yet confirmed or undone
+  tooMany,        // as many are alive as may be
+  unknown,        // no such generation, or not in that state
+  fenced,         // a later coordinator has spoken
+  badLease,       // a time to confirm in that is not above 0, or too long
+  asked,          // by an operator
+  leaseEnded,     // nobody confirmed it in time
+  alarm           // the watch
+};
+const char* word(Why why);
+
+// ---- what happened
+struct Propose {
+  std::uint64_t fence = 0, ticket = 0;  // the answer carries the ticket
+  Generation base = 0;                  // the one that is confirmed, as the proposer knows it
+  std::string content;                  // checked already
+  // From when it is heard, by this front's clock: what is not confirmed by then is dropped or undone, whenever it
+  // was applied. It bounds what an Apply that comes late can do.
+  Ms within = 0;
+};
+struct Apply {
+  std::uint64_t fence = 0, ticket = 0;
+  Generation generation = 0;
+  Ms confirmWithin = 0;
+};
+struct Confirm {
+  std::uint64_t fence = 0, ticket = 0;
+  Generation generation = 0;
+};
+struct Undo {  // of what is applied or staged
+  std::uint64_t fence = 0, ticket = 0;
+  Generation generation = 0;
+};
+struct Alarm {  // the watch says that the applied one does harm
+  Generation generation = 0;
+};
+struct Tick {};
+struct Released {  // the last pull that began with it has ended
+  Generation generation = 0;
+};
+using Happening = std::variant<Propose, Apply, Confirm, Undo, Alarm, Tick, Released>;
+
+// ---- what is to be done
+struct Record {  // what must outlive the process: the whole of it, in place of what was there
+  Record() = default;
+  Record(Generation k, Generation l, std::uint64_t f, std::string c) : kept(k), last(l), fence(f), content(std::move(c)) {}
+  Generation kept = 0, last = 0;
+  std::uint64_t fence = 0;
+  std::string content;  // of the kept one
+};
+struct Serve {  // from the next turn on
+  Generation generation = 0;
+};
+struct Forget {  // its content is not needed any more
+  Generation generation = 0;
+};
+struct Answer {
+  std::uint64_t ticket = 0;
+  Generation generation = 0;
+  Why refused = Why::none;
+};
+struct Undone {  // to be told, and logged
+  Generation generation = 0;
+  Why why = Why::none;
+};
+struct WakeAt {
+  Ms at = 0;
+};
+using Deed = std::variant<Record, Serve, Forget, Answer, Undone, WakeAt>;
+
+struct Bounds {
+  int mostAlive = 4;                 // generations whose content is held, the kept one included
+  Ms longestLease = 10 * 60 * 1000;  // an operator's coffee; beyond it a change is a standing one
+  Ms shortestLease = 1000;           // below it no confirmation could come back
+};
+
+class Ledger {
+ public:
+  // `last`: what was recorded last, or nothing.
+  explicit Ledger(Bounds bounds, std::optional<Record> last = std::nullopt);
+  std::vector<Deed> handle(Ms now, const Happening& what);
+
+  Generation kept() const { return kept_; }
+  Generation serving() const { return serving_; }
+  Ms leaseEnds() const { return leaseEnds_; }  // of what serves unconfirmed; 0: none does
+  std::uint64_t fence() const { return fence_; }
+  const std::string* contentOf(Generation generation) const;
+  struct Entry {
+    Generation generation = 0;
+    State state = State::staged;
+    Why why = Why::none;
+  };
+  std::string fingerprint() const;  // all that decides what it does next, for those who explore it
+  // The last ones, as they went; bounded.
+  const std::vector<Entry>& history() const { return history_; }
+
+ private:
+  struct Alive {
+    Generation generation = 0;
+    std::string content;
+    bool pulls = false;  // some that began with it may be open
+    Ms endsAt = 0;       // of what is not confirmed
+  };
+  Why heard(std::uint64_t fence);
+  Alive* alive(Generation generation);
+  void note(Generation generation, State state, Why why = Why::none);
+  void undo(Why why, std::vector<Deed>& out);
+  void drop(Generation generation, std::vector<Deed>& out);
+  void keep(std::vector<Deed>& out) const;
+
+  Bounds bounds_;
+  Generation kept_ = 0, serving_ = 0, last_ = 0;
+  std::uint64_t fence_ = 0;
+  Ms leaseEnds_ = 0;
+  std::vector<Alive> alive_;  // at most `mostAlive`
+  std::vector<Entry> history_;
+};
+
+}  // namespace dunlinwick::changes
