Link levels as reported, fills' own lengths, and blame by time where only hits are told

A parent's crash ended as 'full' after 12 to 400 ms and its silence as 'error' after the cache's time limit, both laid to the cache (blame). Ruled out: caches' own crowding (hits at 0.98 to 1.13 of their sending). Now: the reported level is heard, the usual wait is learnt and taken off, a refusal or error beyond the way to the cache is the source's, a quick refusal of a fill is no place, and a source is asked only for what its own pace brings in time.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -54,11 +54,14 @@
   std::vector<Ware> wares;
   int zone, crew, fronts, places, parentKind, originKind, mostLegs;
   Permits may;
-  bool asksForList, lateral, weighed, linkTold;
+  bool asksForList, lateral, weighed, linkTold, remarks;
+  int linkReport;
   Ms retryLimit, purgeKept, coldWindow;
   double streamKbPerMs;
   Room link;
   Tally linkFills, linkLately;  // fills out through the link; its level
+  double linkSaid = 0;  // how full the link is, as caches report it
+  Ms linkSaidAt = longAgo;
   ColdTerms coldStore, coldParent;
   std::knuth_b chance;
 
@@ -74,6 +77,7 @@
   std::unordered_map<std::uint64_t, Ms> purges;  // object or group: when; emptied after purgeKept
   double meanPayoff = 1, meanWork = 100, placePrice = 0;
   Ms originWait = 0, originCalm = 0;  // until its first byte comes, lately and as usual
+  Ms fillWait = 0;                    // of the usual fill until its first byte, where answers don't tell
   int linesLeft = 150;
 
   void act(Action a) { todo->push_back(std::move(a)); }
@@ -94,6 +98,7 @@
     purgeKept = 2 * s.purgeDone;  // twice: a fill may lay down an old copy late, and the cap costs nothing
     streamKbPerMs = s.streamKbPerMs;
     linkTold = s.linkKbPerMs > 0 && streamKbPerMs > 0;
+    remarks = s.remarks, linkReport = linkTold ? -1 : s.linkReport;
     if (linkTold) link.fits = s.linkKbPerMs / streamKbPerMs;
   }
 
@@ -441,16 +446,28 @@
       return p.lastAt;
     std::vector<Machine*> able;
     for (Machine* m : inOrder(parents, p.object))
-      if (open(m)) able.push_back(m);
+      if (open(m) && fillInTime(p, *m)) able.push_back(m);
     std::stable_partition(able.begin(), able.end(), [&](const Machine* m) {
       return static_cast<double>(mixed(~p.object ^ mixed(m->cache)) >> 11) * 0x1p-53 < shareOf(*m);
     });
     Machine* best = able.empty() ? nullptr : firstInBounds(able, p);
     if (best && level(*best) <= bearable(p)) return best;
-    return origin && open(origin) && (!best || level(*origin) < level(*best)) ? origin : best;
+    return origin && open(origin) && fillInTime(p, *origin) && (!best || level(*origin) < level(*best)) ? origin : best;
   }
 
-  double linkLevel() const { return (together(linkFills, crew) + 1) / carries(link, now); }
+  // As caches report it, where they do, fading until the next word; else by our own legs.
+  double linkLevel() const {
+    constexpr Ms fade = 5 * second;  // long beside the reports' delay; a look brings the next
+    double own = (together(linkFills, crew) + 1) / carries(link, now);
+    return linkSaidAt > longAgo ? std::max(own, linkSaid * std::exp((linkSaidAt - now) / fade)) : own;
+  }
+  bool linkKnown() const { return linkTold || linkSaidAt > longAgo; }
+  void hearLink(const std::vector<float>& report) {
+    if (linkReport < 0 || linkReport >= static_cast<int>(report.size())) return;
+    double said = std::clamp(static_cast<double>(report[static_cast<std::size_t>(linkReport)]), 0.0, 100.0);
+    linkSaid = linkSaidAt > longAgo ? linkSaid + 0.5 * (said - linkSaid) : said;  // reports are noisy
+    linkSaidAt = now;
+  }
 
   // The share of its objects that a source keeps: cut when a fill is stretched beyond the best source's, once
   // for all legs then out, and grown by good ones. Guards against sources that many fronts crowd, whose legs
@@ -459,31 +476,49 @@
     constexpr Ms whole = 50 * second;  // forgiven at leisure where nothing is asked of it any more
     return std::min(1.0, m.share + std::min(whole, now - m.shareAt) / whole);
   }
-  void shift(Machine& from, const Leg& leg, bool crowded) {
+  void shift(Machine& from, const Leg& leg, double stretch) {
     constexpr double least = 0.05, cut = 0.7, grow = 0.02;  // about one fill in ten is then a stretched one
     if (leg.sentAt < from.cutAt) return;
+    bool crowded = stretch > 2;
     from.share = crowded ? std::max(least, cut * shareOf(from)) : std::min(1.0, shareOf(from) + grow);
     from.shareAt = now;
     if (crowded) from.cutAt = now;
   }
 
+  // Where answers don't tell what became of a fill, or how long it waited, its length stands in, beside its
+  // sending and the usual wait (half the fills wait longer): by the source's last fills, fading, or by a leg
+  // still out. Guards against slow sources, which a front at size asks once in seconds. Harm: a busy second
+  // sends objects elsewhere.
+  double paceOf(const Machine& m) const { return 1 + (m.pace - 1) * std::exp((m.paceAt - now) / (5 * second)); }
+  bool fillInTime(const Pull& p, const Machine& m) const {
+    if (remarks) return true;
+    double pace = paceOf(m);
+    for (auto& [id, other] : pulls)
+      for (const Leg& leg : other.legs)
+        if (leg.out && leg.source == &m) pace = std::max(pace, (now - leg.sentAt) / (other.sending + fillWait));
+    return now + (p.sending + fillWait) * pace < p.agreedAt;
+  }
+
   // A fill is stretched by the link, which all share, and by its source. The best source's pace is laid to
   // the link, what is worse to the source.
   void learnFill(const Leg& leg, Ms own, Ms took) {
     Machine& from = *leg.source;
     if (own <= 0) return;
-    from.pace += 0.1 * (std::max(1.0, took / own) - from.pace), from.paceAt = now;  // the last ten fills
+    if (!remarks) from.pace = paceOf(from);
+    double step = remarks ? 0.1 : 0.5;  // the last ten fills; the last two where they are rare
+    from.pace += step * (std::max(1.0, took / own) - from.pace), from.paceAt = now;
     double best = from.pace;
     for (const Machine* m : parents)
       if (now - m->paceAt < 5 * second) best = std::min(best, m->pace);
-    shift(from, leg, took > 2 * best * own);
-    if (linkTold) best = std::min(best, std::max(1.0, linkLevel()));  // a lone parent has no other beside it
+    shift(from, leg, took / (best * own));
+    if (linkKnown()) best = std::min(best, std::max(1.0, linkLevel()));  // a lone one has no other beside
     learn(from.room, now, together(from.legs, fronts) + 1, own, took, best);
     if (!linkTold && from.pace <= 1.25 * best) learn(link, now, together(linkFills, crew) + 1, own, took);
   }
 
   // ---- legs
 
+  static constexpr Ms theWay = 5;        // connection and network inside a location, on the long side
   static constexpr Ms beforeExpiry = 4;  // two ticks: the final answer goes out before the client leaves
 
   void arrive(const PullCame& e) {
@@ -577,7 +612,7 @@
       // crowded and no front sees it; so is that of a link not told, learnt from fills that such sources
       // stretch.
       constexpr double pressed = 0.8, least = 0.6;
-      double part = linkTold ? std::clamp(1.8 - 0.6 * meanOf(linkLately, 20), least, 1.0) : least;
+      double part = linkKnown() ? std::clamp(1.8 - 0.6 * meanOf(linkLately, 20), least, 1.0) : least;
       if (p.knownMiss && linkLevel() > part * bearable(p)) return false;
       bool canLook = !p.knownMiss && static_cast<int>(p.legs.size()) + 1 < mostLegs;
       if (canLook && linkLevel() > pressed) source = nullptr;
@@ -624,16 +659,24 @@
     pulls.erase(p.pull);
   }
 
-  void legEnded(const LegEnded& e) {
+  void legEnded(LegEnded e) {
     Pull* found = known(e.pull);
     if (!found || e.leg < 0 || e.leg >= static_cast<int>(found->legs.size())) return;
     Pull& p = *found;
     Leg& leg = p.legs[static_cast<std::size_t>(e.leg)];
     if (!leg.out) return;
     leg.out = false;
+    if (leg.at->role == Role::store) hearLink(e.report);
     count(*leg.at, -leg.load);
     count(linkFills, crew, linkFills.out - leg.fill);
     if (leg.source) count(*leg.source, -1);
+    // Where only hits are told, what took longer than the way to the cache failed behind it, and a quick
+    // refusal had no place for the fill. Guards against laying a source's refusals and silence to the caches.
+    // Harm: a cache's slow refusal is laid to the source.
+    if (!remarks && leg.source && e.remark == Remark::none) {
+      if (e.ending == Ending::full) e.remark = e.took > theWay ? Remark::sourceRefused : Remark::noFillPlace;
+      if (e.ending == Ending::error && e.took > theWay) e.remark = Remark::sourceLost;
+    }
     leg.neverRan = e.ending == Ending::full || e.ending == Ending::noConnection || e.ending == Ending::moot ||
                    e.ending == Ending::miss;
     leg.at->trialOut = false;
@@ -656,9 +699,13 @@
       if (leg.at->role == Role::store && !p.ware->neverKept) {
         if (hit || filled) learnOmega(p, leg, hit);
         Ms own = knownSending(p);
-        constexpr Ms theWay = 5;  // connection and network inside a location, on the long side
-        if (filled && leg.source && leg.source->role != Role::store)
+        if (filled && leg.source && leg.source->role != Role::store && remarks)
           learnFill(leg, own, e.took - e.waited - theWay);
+        if (filled && leg.source && leg.source->role != Role::store && !remarks) {
+          Ms waited = std::max(1.0, e.took - theWay - own);
+          fillWait = fillWait <= 0 ? waited : fillWait * (waited > fillWait ? 1.02 : 0.98);
+          if (own > fillWait) learnFill(leg, own + fillWait, e.took - theWay);
+        }
         if (e.remark == Remark::hit) {
           learn(leg.at->room, now, together(leg.at->legs, crew) + 1, own, e.took - theWay);
           if (!p.ware->sendingsSeen)
@@ -685,8 +732,11 @@
     Ms own = knownSending(p);
     if (e.remark != Remark::sourceLacks) p.spared = false;
     if (e.remark == Remark::originFailed) learnOrigin(std::max(e.waited, 10 * originCalm));
-    // A fill that was refused, lost or called off late shows a crowded source as well as a slow one does.
-    if (source && !sibling && (e.remark == Remark::sourceRefused || (p.knownMiss && e.took > 3 * own)))
+    // A fill that was refused, lost or called off late shows a crowded source as well as a slow one does. Not
+    // known as a miss, it is taken for a fill where the cache has answered what was sent later.
+    bool fill = p.knownMiss || (!remarks && leg.at->lastGood > leg.sentAt);
+    if (!remarks) own += fillWait;
+    if (source && !sibling && (e.remark == Remark::sourceRefused || (fill && e.took > 3 * own)))
       learnFill(leg, own, std::max(e.took, 3 * own));
     if (e.ending == Ending::miss || e.remark == Remark::noFillPlace) {
       // No fault: the cache lacks it, or has no place to fill it but still serves hits.
--- a/src/logic.hpp
+++ b/src/logic.hpp
@@ -55,6 +55,8 @@
   bool lateral = false;  // a cache may be filled from another of its zone
   double streamKbPerMs = 0;
   double linkKbPerMs = 0;  // of this zone; 0: not told
+  int linkReport = -1;     // place in the answers' reports of how full that link is; -1: not reported
+  bool remarks = true;     // answers tell what became of a fill; else at most whether they were hits
   Ms purgeDone = 0;
   ColdTerms coldStore, coldParent;
   Ms coldWindow = 0;
--- a/src/sheet/sheet.cpp
+++ b/src/sheet/sheet.cpp
@@ -138,6 +138,13 @@
   s.lateral =
       f.choice<bool>("familyInfo.lateral", false, {{"none", false}, {"location", true}, {"any", true}});
   s.streamKbPerMs = f.number("familyInfo.streamKbPerS", 0) / 1000;
+  s.remarks = f.choice<bool>("familyInfo.detail", true, {{"all", true}, {"hit", false}, {"none", false}});
+  // A cache's x1 is how full its location's link is; the settings say so in words of their own.
+  std::vector<std::string> reported = f.words("report.names");
+  auto full = std::find(reported.begin(), reported.end(), "x1");
+  if (full != reported.end() && f.has("report.via") && f.need("report.via") == "answers" &&
+      f.has("familyInfo.reportX1") && f.need("familyInfo.reportX1").find("link") != std::string_view::npos)
+    s.linkReport = static_cast<int>(full - reported.begin());
   s.purgeDone = f.number("familyInfo.purgeDone", 0);
   s.coldStore.from = f.number("obligations.coldFrom", 1);
   s.coldStore.lasts = f.number("obligations.cold", 0);
