--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -489,7 +489,7 @@
   // sending and the usual wait (half the fills wait longer): by the source's last fills, fading, or by a leg
   // still out. Guards against slow sources, which a front at size asks once in seconds. Harm: a busy second
   // sends objects elsewhere.
-  double paceOf(const Machine& m) const { return 1 + (m.pace - 1) * std::exp((m.paceAt - now) / (5 * second)); }
+  double paceOf(const Machine& m) const { return 1 + (m.pace - 1) * std::exp((m.paceAt - now) / (15 * second)); }
   bool fillInTime(const Pull& p, const Machine& m) const {
     if (remarks) return true;
     double pace = paceOf(m);
