--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -603,7 +603,13 @@
       return send(p, *origin, origin), true;
     count(linkLately, 20, linkLevel());
     Machine* at = chooseStore(p);
-    Machine* source = at ? chooseSource(p, at) : nullptr;
+    Machine* source = at || may.direct ? chooseSource(p, at) : nullptr;
+    if (!at && source && source->role != Role::store && mayGo(p, *source)) {
+      // No cache can take it: straight to its parent or the origin, if the link bears it. Guards against the
+      // loss of a location's caches. Harm: nothing is kept of it there.
+      if (linkLevel() > bearable(p)) return false;
+      return send(p, *source, origin ? origin : source), true;
+    }
     if (!at || (!source && p.knownMiss)) return false;  // nothing can fill it: a further look only adds legs
     // When the link fills up, a pull first only looks; a miss is filled while it can be in time. Guards
     // against any surge of misses (cold caches, purges, scans, large objects). Harm: one round trip.
