--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -432,6 +432,7 @@
     std::vector<Machine*> open;
     for (Machine* m : inOrder(stores, p.object))
       if (judge(*m) && !p.hasFailed(m) && mayGo(p, *m) && affords(*m, p.ware->meanSending)) open.push_back(m);
+    p.noCache = open.empty();
     Machine* at = firstInBounds(open, p);
     return at && level(*at) <= bearable(p) ? at : nullptr;
   }
@@ -447,12 +448,17 @@
     std::vector<Machine*> able;
     for (Machine* m : inOrder(parents, p.object))
       if (open(m) && fillInTime(p, *m)) able.push_back(m);
+    // None in time with what they fetch: one that is with what it holds is asked for that only.
+    bool other = origin && open(origin) && fillInTime(p, *origin);
+    if ((p.heldOnly = able.empty() && !other))
+      for (Machine* m : inOrder(parents, p.object))
+        if (open(m) && fillInTime(p, *m, true)) able.push_back(m);
     std::stable_partition(able.begin(), able.end(), [&](const Machine* m) {
       return static_cast<double>(mixed(~p.object ^ mixed(m->cache)) >> 11) * 0x1p-53 < shareOf(*m);
     });
     Machine* best = able.empty() ? nullptr : firstInBounds(able, p);
     if (best && level(*best) <= bearable(p)) return best;
-    return origin && open(origin) && fillInTime(p, *origin) && (!best || level(*origin) < level(*best)) ? origin : best;
+    return other && (!best || level(*origin) < level(*best)) ? origin : best;
   }
 
   // As caches report it, where they do, fading until the next word; else by our own legs.
@@ -489,13 +495,17 @@
   // sending and the usual wait (half the fills wait longer): by the source's last fills, fading, or by a leg
   // still out. Guards against slow sources, which a front at size asks once in seconds. Harm: a busy second
   // sends objects elsewhere.
-  double paceOf(const Machine& m) const { return 1 + (m.pace - 1) * std::exp((m.paceAt - now) / (15 * second)); }
-  bool fillInTime(const Pull& p, const Machine& m) const {
+  double paceOf(const Machine& m, bool held) const {
+    Ms at = held ? m.heldAt : m.paceAt;
+    return 1 + ((held ? m.heldPace : m.pace) - 1) * std::exp((at - now) / (15 * second));
+  }
+  bool fillInTime(const Pull& p, const Machine& m, bool held = false) const {
     if (remarks) return true;
-    double pace = paceOf(m);
+    double pace = paceOf(m, held);
     for (auto& [id, other] : pulls)
       for (const Leg& leg : other.legs)
-        if (leg.out && leg.source == &m) pace = std::max(pace, (now - leg.sentAt) / (other.sending + fillWait));
+        if (leg.out && leg.source == &m && leg.held == held)
+          pace = std::max(pace, (now - leg.sentAt) / (other.sending + fillWait));
     return now + (p.sending + fillWait) * pace < p.agreedAt;
   }
 
@@ -504,7 +514,12 @@
   void learnFill(const Leg& leg, Ms own, Ms took) {
     Machine& from = *leg.source;
     if (own <= 0) return;
-    if (!remarks) from.pace = paceOf(from);
+    if (leg.held) {
+      from.heldPace = paceOf(from, true) + 0.5 * (std::max(1.0, took / own) - paceOf(from, true));
+      from.heldAt = now;
+      return;
+    }
+    if (!remarks) from.pace = paceOf(from, false);
     double step = remarks ? 0.1 : 0.5;  // the last ten fills; the last two where they are rare
     from.pace += step * (std::max(1.0, took / own) - from.pace), from.paceAt = now;
     double best = from.pace;
@@ -569,7 +584,8 @@
       if (leg.source->aside) leg.source->trialOut = true;
     }
     SendLeg a{p.pull, at.cache, source ? source->cache : at.cache, may.join, p.ware->freshFor > 0};
-    a.heldOnly = p.spared = leg.source && leg.source->role == Role::parent && sparesOrigin(p);
+    leg.held = leg.source && leg.source->role == Role::parent && (p.heldOnly || sparesOrigin(p));
+    a.heldOnly = p.spared = leg.held;
     // What may run once is lost with a connection that broke unseen while idle. Harm: one more way there.
     a.proven = p.ware->effect == Effect::exclusive && may.probe;
     a.rank = p.rank, a.oldest = oldest(p);
@@ -603,9 +619,9 @@
       return send(p, *origin, origin), true;
     count(linkLately, 20, linkLevel());
     Machine* at = chooseStore(p);
-    Machine* source = at || may.direct ? chooseSource(p, at) : nullptr;
+    Machine* source = at || (may.direct && p.noCache) ? chooseSource(p, at) : nullptr;
     if (!at && source && source->role != Role::store && mayGo(p, *source)) {
-      // No cache can take it: straight to its parent or the origin, if the link bears it. Guards against the
+      // No cache is there for it: straight to its parent or the origin, if the link bears it. Guards against the
       // loss of a location's caches. Harm: nothing is kept of it there.
       if (linkLevel() > bearable(p)) return false;
       return send(p, *source, origin ? origin : source), true;
@@ -680,6 +696,7 @@
     // refusal had no place for the fill. Guards against laying a source's refusals and silence to the caches.
     // Harm: a cache's slow refusal is laid to the source.
     if (!remarks && leg.source && e.remark == Remark::none) {
+      if (e.ending == Ending::miss && leg.held) e.remark = Remark::sourceLacks;
       if (e.ending == Ending::full) e.remark = e.took > theWay ? Remark::sourceRefused : Remark::noFillPlace;
       if (e.ending == Ending::error && e.took > theWay) e.remark = Remark::sourceLost;
     }
--- a/src/records.hpp
+++ b/src/records.hpp
@@ -21,7 +21,7 @@
 // it has shown.
 struct Room {
   double nominal = 0, fits = 0, proven = 0;
-  Ms learntAt = 0;
+  Ms learntAt = 0, crowdedAt = 0;
 };
 
 // Legs of ours that are out, and on average over the last seconds.
@@ -44,7 +44,8 @@
   Ms asideUntil = 0, pause = 0, fullUntil = 0;
   Ms lastGood = longAgo;  // when the latest leg was sent that it answered, or filled as a source
   double pace = 1;        // how much its fills are stretched
-  Ms paceAt = longAgo;
+  double heldPace = 1;    // the same for what it held itself, where it was asked for no more
+  Ms paceAt = longAgo, heldAt = longAgo;
   double share = 1;  // of the objects at home there that are still asked of it
   Ms shareAt = longAgo, cutAt = longAgo;
 };
@@ -66,6 +67,7 @@
   Ms sentAt = 0;
   double load = 1, fill = 0;  // on the cache's own link and the location's, in transfers at full pace
   bool out = true, neverRan = false, erred = false;
+  bool held = false;  // the source was asked only for what it holds
 };
 
 struct Pull : PullCame {
@@ -74,7 +76,7 @@
   Memory *memory = nullptr, *whole = nullptr;  // of the part, and of the object: its parts are of one size
   Machine* lastAt = nullptr;
   int rank = 1;
-  bool ended = false, streaming = false, siblingLacked = false, knownMiss = false, spared = false;
+  bool ended = false, streaming = false, siblingLacked = false, knownMiss = false, spared = false, noCache = false, heldOnly = false;
   std::vector<Leg> legs;
   std::vector<Machine*> failed;  // caches and sources that failed this pull
   bool hasFailed(const Machine* m) const { return std::count(failed.begin(), failed.end(), m) > 0; }
