Slow sources remembered for 30 s, fills with a fifth to spare, lasting levels cut to half

Seen: with many fronts on few sources each front learns of a slow source alone and forgets it in 15 s, and fills that were just in time by their source's pace came late. Never-kept pulls look at no cache first: a look can't hit.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -497,7 +497,7 @@
   // sends objects elsewhere.
   double paceOf(const Machine& m, bool held) const {
     Ms at = held ? m.heldAt : m.paceAt;
-    return 1 + ((held ? m.heldPace : m.pace) - 1) * std::exp((at - now) / (15 * second));
+    return 1 + ((held ? m.heldPace : m.pace) - 1) * std::exp((at - now) / (30 * second));
   }
   bool fillInTime(const Pull& p, const Machine& m, bool held = false) const {
     if (remarks) return true;
@@ -506,7 +506,7 @@
       for (const Leg& leg : other.legs)
         if (leg.out && leg.source == &m && leg.held == held)
           pace = std::max(pace, (now - leg.sentAt) / (other.sending + fillWait));
-    return now + (p.sending + fillWait) * pace < p.agreedAt;
+    return now + 1.2 * (p.sending + fillWait) * pace < p.agreedAt;
   }
 
   // A fill is stretched by the link, which all share, and by its source. The best source's pace is laid to
@@ -520,7 +520,7 @@
       return;
     }
     if (!remarks) from.pace = paceOf(from, false);
-    double step = remarks ? 0.1 : 0.5;  // the last ten fills; the last two where they are rare
+    double step = remarks ? 0.1 : 0.8;  // the last ten fills; the last one or two where they are rare
     from.pace += step * (std::max(1.0, took / own) - from.pace), from.paceAt = now;
     double best = from.pace;
     for (const Machine* m : parents)
@@ -629,11 +629,11 @@
     if (!at || (!source && p.knownMiss)) return false;  // nothing can fill it: a further look only adds legs
     // When the link fills up, a pull first only looks; a miss is filled while it can be in time. Guards
     // against any surge of misses (cold caches, purges, scans, large objects). Harm: one round trip.
-    if (source && source->role != Role::store) {
+    if (source && source->role != Role::store && !p.ware->neverKept) {
       // A burst is borne, a level that lasts is cut to six tenths, since sources behind the link are as
       // crowded and no front sees it; so is that of a link not told, learnt from fills that such sources
       // stretch.
-      constexpr double pressed = 0.8, least = 0.6;
+      constexpr double pressed = 0.8, least = 0.5;
       double part = linkKnown() ? std::clamp(1.8 - 0.6 * meanOf(linkLately, 20), least, 1.0) : least;
       if (p.knownMiss && linkLevel() > part * bearable(p)) return false;
       bool canLook = !p.knownMiss && static_cast<int>(p.legs.size()) + 1 < mostLegs;
