--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -608,6 +608,157 @@
   }
 }
 
+// A sheet of the shape in which answers tell only hits, and caches report how full their link is.
+static StoreSheet plainSheet() {
+  StoreSheet s = sheet();
+  s.remarks = false, s.linkKbPerMs = 0, s.linkReport = 1;
+  return s;
+}
+
+static void say(Front& f, const SendLeg& a, Ending ending, Remark remark, int leg, Ms took, float level) {
+  LegEnded e;
+  e.pull = a.pull, e.cache = a.cache, e.leg = leg, e.ending = ending, e.remark = remark, e.took = took;
+  e.final = ending == Ending::finished, e.report = {7, level};
+  f.tell(e);
+}
+
+// Found on a quiet day: the link was half full as reported, and held for crowded by what fills waited for their
+// first byte. The level reported is believed, and forgotten where nothing is heard any more.
+static void reportedLinkLevelsAreBelieved() {
+  for (float level : {0.3f, 30.0f}) {
+    Front f(plainSheet());
+    int looks = 0;
+    for (std::uint64_t o = 1; o <= 100; ++o) {
+      f.now += 300;
+      SendLeg a = f.pull(o);
+      if (o > 50) looks += a.cache == a.source;
+      say(f, a, Ending::finished, Remark::filled, 0, 105 + 170, level);  // half as long again in waiting
+    }
+    assert(level < 1 ? looks == 0 : looks == 50);
+    f.now += 60000;
+    SendLeg after = f.pull(1000);
+    assert(after.cache && after.cache != after.source);
+  }
+}
+
+// Where only hits are told: a refusal or an error that comes from behind the cache is its source's, a quick one of
+// a fill has found no place; the cache keeps its pulls.
+static void whatFailsBehindACacheIsTheSources() {
+  Front f(plainSheet());
+  SendLeg first = f.pull(1);
+  say(f, first, Ending::finished, Remark::hit, 0, 105, 0.2f);
+  for (Ms took : {30.0, 400.0, 1400.0}) {
+    for (int i = 0; i < 3; ++i) {
+      f.now += 5000;
+      SendLeg a = f.pull(1);
+      assert(a.cache == first.cache);
+      f.now += took;
+      say(f, a, took > 1000 ? Ending::error : Ending::full, Remark::none, 0, took, 0.2f);
+      SendLeg b = f.leg();  // the same cache, another source
+      assert(b.cache == 0 || (b.cache == first.cache && b.source != a.source));
+      if (b.cache) say(f, b, Ending::finished, Remark::filled, 1, 150, 0.2f);
+    }
+  }
+  f.now += 5000;
+  SendLeg a = f.pull(1);
+  say(f, a, Ending::full, Remark::none, 0, 0.6, 0.2f);  // no place: another cache fills it
+  assert(f.leg().cache && f.leg().cache != a.cache);
+  say(f, f.leg(), Ending::finished, Remark::filled, 1, 150, 0.2f);
+  assert(f.pull(1).cache == first.cache);
+}
+
+// Found at full size: a front asks a source once in seconds, and four slow ones in five took most fills. One slow
+// fill, or one still out, turns this front's fills away for a while; then it asks again.
+static void oneSlowFillTellsOfItsSource() {
+  for (bool ends : {true, false}) {
+    Front f(plainSheet());
+    for (std::uint64_t o = 1; o <= 20; ++o) {
+      f.now += 300;
+      SendLeg a = f.pull(o);
+      say(f, a, Ending::finished, Remark::filled, 0, 150, 0.2f);
+    }
+    SendLeg slow = f.pull(100);
+    f.now += 3000;
+    if (ends) say(f, slow, Ending::finished, Remark::filled, 0, 3000, 0.2f);
+    int asked = 0;
+    for (std::uint64_t o = 200; o < 240; ++o) {
+      f.now += 20;
+      SendLeg a = f.pull(o);
+      asked += a.source == slow.source;
+      if (a.cache) say(f, a, Ending::finished, Remark::filled, 0, 150, 0.2f);
+    }
+    assert(asked == 0);
+    if (!ends) say(f, slow, Ending::finished, Remark::filled, 0, 3800, 0.2f);
+    f.now += 120000;
+    for (std::uint64_t o = 300; o < 340; ++o) {
+      SendLeg a = f.pull(o);
+      asked += a.source == slow.source;
+      if (a.cache) say(f, a, Ending::finished, Remark::filled, 0, 150, 0.2f);
+    }
+    assert(asked > 0);
+  }
+}
+
+// While all sources come late with what they fetch, one is asked for what it holds; if it lacks that, the pull is
+// declined at once, with a time to come back.
+static void lateSourcesAreAskedForWhatTheyHold() {
+  StoreSheet s = plainSheet();
+  s.longestRetryAfter = 500;
+  Front f(s);
+  for (std::uint64_t o = 1; o <= 40; ++o) {
+    f.now += 200;
+    SendLeg a = f.pull(o);
+    if (!a.cache) continue;
+    if (a.heldOnly || a.cache == a.source) say(f, a, Ending::miss, Remark::none, 0, 20, 0.2f);
+    else say(f, a, Ending::finished, Remark::filled, 0, o < 5 ? 150 : 2500, 0.2f);
+  }
+  SendLeg a = f.pull(1000);
+  assert(a.heldOnly && (a.source == 21 || a.source == 22));
+  say(f, a, Ending::miss, Remark::none, 0, 20, 0.2f);
+  assert(f.declined() && f.all<DeclinePull>().front().retryAfter > 0 && f.leg().cache == 0);
+  SendLeg b = f.pull(1001);
+  say(f, b, Ending::finished, Remark::filled, 0, 120, 0.2f);
+  assert(f.did.empty());
+}
+
+// A location without a cache: straight to the object's parent, where that is allowed and the link bears it.
+static void lostLocationsGoStraightToParents() {
+  for (bool direct : {true, false}) {
+    StoreSheet s = sheet();
+    s.may.direct = direct;
+    ListNews news = list();
+    for (ListEntry& e : news.entries)
+      if (e.kind == storeKind) e.standing = Standing::draining;
+    Front f(s, 1, news);
+    int went = 0, declined = 0;
+    for (std::uint64_t o = 1; o <= 200; ++o) {
+      SendLeg a = f.pull(o);
+      assert(!a.cache || ((a.cache == 21 || a.cache == 22) && a.source == 31));
+      went += a.cache != 0, declined += f.declined();
+    }
+    assert(direct ? went > 0 && declined > 0 : went == 0);
+    assert(went + declined == 200);
+  }
+}
+
+// A ticketed pull that is never kept runs at the origin by way of its home cache, whatever the link's level, and
+// is not looked for first; a repeat goes there as long as the origin drops it.
+static void ticketsRunAtTheOriginThroughACache() {
+  StoreSheet s = plainSheet();
+  s.may.direct = false;
+  s.offerings[1].effect = Effect::ticketed, s.offerings[1].memory = 6000;
+  Front f(s);
+  for (std::uint64_t o = 1; o <= 20; ++o) {
+    f.now += 300;
+    SendLeg a = f.pull(o);
+    if (a.cache) say(f, a, a.cache == a.source ? Ending::miss : Ending::finished, Remark::none, 0, 150, 9.0f);
+  }
+  SendLeg a = f.pull(500, 1, 100);
+  assert(a.cache >= 11 && a.cache <= 14 && a.source == 31);
+  say(f, a, Ending::broken, Remark::none, 0, 20, 9.0f);
+  assert(f.leg().cache && f.leg().source == 31);
+}
+
 int main() {
   struct Case {
     const char* name;
@@ -642,7 +793,13 @@
                  {"shares below a leg add up", sharesBelowALegAddUp},
                  {"full places decline what earns least", fullPlacesDeclineWhatEarnsLeast},
                  {"odd lists are borne", oddListsAreBorne},
-                 {"works without the extras", worksWithoutTheExtras}}) {
+                 {"works without the extras", worksWithoutTheExtras},
+                 {"reported link levels are believed", reportedLinkLevelsAreBelieved},
+                 {"what fails behind a cache is the source's", whatFailsBehindACacheIsTheSources},
+                 {"one slow fill tells of its source", oneSlowFillTellsOfItsSource},
+                 {"late sources are asked for what they hold", lateSourcesAreAskedForWhatTheyHold},
+                 {"lost locations go straight to parents", lostLocationsGoStraightToParents},
+                 {"tickets run at the origin through a cache", ticketsRunAtTheOriginThroughACache}}) {
     std::puts(c.name);
     c.run();
   }
