dunlinctl config migrate: a configuration's counterpart for the new shape

Settings that can't be read are now refused with the reason. A report that is no number is not taken for a level of the link.

--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -2,6 +2,7 @@
 #include <CLI/CLI.hpp>
 #include <cstdio>
 
+#include "ctl/config.hpp"
 #include "ctl/drill.hpp"
 #include "schema/schema.hpp"
 
@@ -12,6 +13,7 @@
   app.set_version_flag("--version", "dunlinctl " DUNLINWICK_VERSION);
   int code = 0;
   dunlinwick::ctl::addDrill(app, code);
+  dunlinwick::ctl::addConfig(app, code);
   try {
     app.parse(argc, argv);
   } catch (const CLI::ParseError& fault) {
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -60,7 +60,7 @@
   double streamKbPerMs;
   Room link;
   Tally linkFills, linkLately;  // fills out through the link; its level
-  double linkSaid = 0;  // how full the link is, as caches report it
+  double linkSaid = 0;          // how full the link is, as caches report it
   Ms linkSaidAt = longAgo;
   ColdTerms coldStore, coldParent;
   std::knuth_b chance;
@@ -471,6 +471,7 @@
   void hearLink(const std::vector<float>& report) {
     if (linkReport < 0 || linkReport >= static_cast<int>(report.size())) return;
     double said = std::clamp(static_cast<double>(report[static_cast<std::size_t>(linkReport)]), 0.0, 100.0);
+    if (!std::isfinite(said)) return;                                             // a peer's word
     linkSaid = linkSaidAt > longAgo ? linkSaid + 0.5 * (said - linkSaid) : said;  // reports are noisy
     linkSaidAt = now;
   }
@@ -621,8 +622,8 @@
     Machine* at = chooseStore(p);
     Machine* source = at || (may.direct && p.noCache) ? chooseSource(p, at) : nullptr;
     if (!at && source && source->role != Role::store && mayGo(p, *source)) {
-      // No cache is there for it: straight to its parent or the origin, if the link bears it. Guards against the
-      // loss of a location's caches. Harm: nothing is kept of it there.
+      // No cache is there for it: straight to its parent or the origin, if the link bears it. Guards against
+      // the loss of a location's caches. Harm: nothing is kept of it there.
       if (linkLevel() > bearable(p)) return false;
       return send(p, *source, origin ? origin : source), true;
     }
--- a/src/records.hpp
+++ b/src/records.hpp
@@ -76,7 +76,8 @@
   Memory *memory = nullptr, *whole = nullptr;  // of the part, and of the object: its parts are of one size
   Machine* lastAt = nullptr;
   int rank = 1;
-  bool ended = false, streaming = false, siblingLacked = false, knownMiss = false, spared = false, noCache = false, heldOnly = false;
+  bool ended = false, streaming = false, siblingLacked = false, knownMiss = false, spared = false,
+       noCache = false, heldOnly = false;
   std::vector<Leg> legs;
   std::vector<Machine*> failed;  // caches and sources that failed this pull
   bool hasFailed(const Machine* m) const { return std::count(failed.begin(), failed.end(), m) > 0; }
--- a/src/sheet/sheet.cpp
+++ b/src/sheet/sheet.cpp
@@ -61,12 +61,15 @@
   T choice(const std::string& key, T absent,
            std::initializer_list<std::pair<std::string_view, T>> known) const {
     if (!has(key)) return absent;
-    for (auto& [word, value] : known)
+    std::string all;
+    for (auto& [word, value] : known) {
       if (word == need(key)) return value;
-    throw SheetFault("setting unreadable: " + key);
+      all += (all.empty() ? "" : ", ") + std::string(word);
+    }
+    throw SheetFault("setting unreadable: " + key + " is none of " + all + ": " + shown(need(key)));
   }
   static int toWhole(const std::string& key, double v, double low, double high) {
-    if (!(v >= low && v <= high)) throw SheetFault("setting unreadable: " + key);
+    if (!(v >= low && v <= high)) throw SheetFault("setting unreadable: " + key + " is out of its range");
     return static_cast<int>(v);
   }
 
@@ -75,13 +78,17 @@
     double v = 0;
     auto [end, fault] = std::from_chars(text.data(), text.data() + text.size(), v);
     if (fault != std::errc{} || end != text.data() + text.size() || !std::isfinite(v))
-      throw SheetFault("setting unreadable: " + key);
+      throw SheetFault("setting unreadable: " + key + " is no number: " + shown(text));
     return v;
   }
   static bool toFlag(const std::string& key, std::string_view text) {
     if (text == "true") return true;
     if (text == "false") return false;
-    throw SheetFault("setting unreadable: " + key);
+    throw SheetFault("setting unreadable: " + key + " is neither true nor false: " + shown(text));
+  }
+  static std::string shown(std::string_view text) {  // of one line, whatever it holds
+    std::string plain = plainWord(text.substr(0, 40));
+    return plain.empty() ? "nothing" : plain;
   }
   std::map<std::string, std::string_view, std::less<>> byKey_;
 };
@@ -141,9 +148,11 @@
   s.remarks = f.choice<bool>("familyInfo.detail", true, {{"all", true}, {"hit", false}, {"none", false}});
   // A cache's x1 is how full its location's link is; the settings say so in words of their own.
   std::vector<std::string> reported = f.words("report.names");
+  bool inAnswers =
+      f.choice<bool>("report.via", false, {{"answers", true}, {"probe", false}, {"none", false}});
   auto full = std::find(reported.begin(), reported.end(), "x1");
-  if (full != reported.end() && f.has("report.via") && f.need("report.via") == "answers" &&
-      f.has("familyInfo.reportX1") && f.need("familyInfo.reportX1").find("link") != std::string_view::npos)
+  if (full != reported.end() && inAnswers && f.has("familyInfo.reportX1") &&
+      f.need("familyInfo.reportX1").find("link") != std::string_view::npos)
     s.linkReport = static_cast<int>(full - reported.begin());
   s.purgeDone = f.number("familyInfo.purgeDone", 0);
   s.coldStore.from = f.number("obligations.coldFrom", 1);
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -112,8 +112,8 @@
   }
 }
 
-// Found by a drill: parts of one small object in a row halved what the front took for its offering's mean, and a
-// cold cache was sent twice its share.
+// Found by a drill: parts of one small object in a row halved what the front took for its offering's mean,
+// and a cold cache was sent twice its share.
 static void aRowOfSmallPartsMovesNoColdBudget() {
   Front f;
   for (std::uint64_t o = 1; o <= 400; ++o) {
@@ -135,7 +135,8 @@
     legs += a.cache == cold;
     if (a.cache) f.finish(a);
   }
-  // What it bears in a window, in legs of the true mean (250 ms less the small ones' fifth): under it all the same.
+  // What it bears in a window, in legs of the true mean (250 ms less the small ones' fifth): under it all the
+  // same.
   double bears = 2 * 6 * (0.3 + 0.02) * 1000 / 210;
   assert(legs > 0 && legs <= 0.65 * bears);
 }
@@ -622,8 +623,8 @@
   f.tell(e);
 }
 
-// Found on a quiet day: the link was half full as reported, and held for crowded by what fills waited for their
-// first byte. The level reported is believed, and forgotten where nothing is heard any more.
+// Found on a quiet day: the link was half full as reported, and held for crowded by what fills waited for
+// their first byte. The level reported is believed, and forgotten where nothing is heard any more.
 static void reportedLinkLevelsAreBelieved() {
   for (float level : {0.3f, 30.0f}) {
     Front f(plainSheet());
@@ -641,8 +642,8 @@
   }
 }
 
-// Where only hits are told: a refusal or an error that comes from behind the cache is its source's, a quick one of
-// a fill has found no place; the cache keeps its pulls.
+// Where only hits are told: a refusal or an error that comes from behind the cache is its source's, a quick
+// one of a fill has found no place; the cache keeps its pulls.
 static void whatFailsBehindACacheIsTheSources() {
   Front f(plainSheet());
   SendLeg first = f.pull(1);
@@ -667,8 +668,8 @@
   assert(f.pull(1).cache == first.cache);
 }
 
-// Found at full size: a front asks a source once in seconds, and four slow ones in five took most fills. One slow
-// fill, or one still out, turns this front's fills away for a while; then it asks again.
+// Found at full size: a front asks a source once in seconds, and four slow ones in five took most fills. One
+// slow fill, or one still out, turns this front's fills away for a while; then it asks again.
 static void oneSlowFillTellsOfItsSource() {
   for (bool ends : {true, false}) {
     Front f(plainSheet());
@@ -699,8 +700,8 @@
   }
 }
 
-// While all sources come late with what they fetch, one is asked for what it holds; if it lacks that, the pull is
-// declined at once, with a time to come back.
+// While all sources come late with what they fetch, one is asked for what it holds; if it lacks that, the
+// pull is declined at once, with a time to come back.
 static void lateSourcesAreAskedForWhatTheyHold() {
   StoreSheet s = plainSheet();
   s.longestRetryAfter = 500;
@@ -741,8 +742,8 @@
   }
 }
 
-// A ticketed pull that is never kept runs at the origin by way of its home cache, whatever the link's level, and
-// is not looked for first; a repeat goes there as long as the origin drops it.
+// A ticketed pull that is never kept runs at the origin by way of its home cache, whatever the link's level,
+// and is not looked for first; a repeat goes there as long as the origin drops it.
 static void ticketsRunAtTheOriginThroughACache() {
   StoreSheet s = plainSheet();
   s.may.direct = false;
