--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -33,14 +33,14 @@
       0.25, r.fits * std::pow(std::max(1.0, r.nominal / r.fits), 1 - std::exp((r.learntAt - now) / fade)));
 }
 // `usual`: how much everything is stretched just now, for reasons that are not this machine's.
-void learn(Room& r, Ms now, double held, Ms own, Ms took, double usual = 1) {
+void learn(Room& r, Ms now, double held, Ms own, Ms took, double usual = 1, double grow = 1.05) {
   constexpr Ms tooShort = 10;  // below, the way there outweighs the sending
   if (own < tooShort) return;
   double stretch = std::max(1.0, took / (own * usual));
   r.fits = carries(r, now), r.learntAt = now;
   double step = std::clamp(0.05 * stretch, 0.1, 0.3);  // the plainer the sign, the larger the step
   if (stretch > 1.5) r.fits += step * (std::min(held / stretch, r.fits) - r.fits);
-  if (stretch < 1.25) r.fits = std::max(r.fits, std::min(held, 1.05 * r.fits));
+  if (stretch < 1.25) r.fits = std::max(r.fits, std::min(held, grow * r.fits));
   r.nominal = std::max(r.nominal, r.fits);
   r.proven += 0.1 * std::max(0.0, held / (stretch * usual) - r.proven);
 }
@@ -123,8 +123,9 @@
     if (!linkTold) link.nominal = 0;
     for (auto& [id, m] : machines) {
       if (m.standing == Standing::gone) continue;
-      // Not told: a third of what the caches carry, for a usual share of misses; fills correct it.
-      if (!linkTold && m.role == Role::store) link.nominal += m.room.nominal / 3;
+      // Not told: a third of what the caches carry, for a usual share of misses; half where that is a low
+      // guess itself, for want of weights. Fills correct it.
+      if (!linkTold && m.role == Role::store) link.nominal += m.room.nominal / (weighed ? 3 : 2);
       if (m.role == Role::store) stores.push_back(&m);
       if (m.role == Role::parent) parents.push_back(&m);
       if (m.role == Role::origin && (!origin || m.standing == Standing::ready)) origin = &m;
@@ -529,7 +530,11 @@
     shift(from, leg, took / (best * own));
     if (linkKnown()) best = std::min(best, std::max(1.0, linkLevel()));  // a lone one has no other beside
     learn(from.room, now, together(from.legs, fronts) + 1, own, took, best);
-    if (!linkTold && from.pace <= 1.25 * best) learn(link, now, together(linkFills, crew) + 1, own, took);
+    // Where lengths alone tell, it grows slowly: a room too large is found out by many late fills at all
+    // fronts.
+    double grow = remarks ? 1.05 : 1.02;
+    if (!linkTold && from.pace <= 1.25 * best)
+      learn(link, now, together(linkFills, crew) + 1, own, took, 1, grow);
   }
 
   // ---- legs
