--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -433,7 +433,8 @@
     std::vector<Machine*> open;
     for (Machine* m : inOrder(stores, p.object))
       if (judge(*m) && !p.hasFailed(m) && mayGo(p, *m) && affords(*m, p.ware->meanSending)) open.push_back(m);
-    p.noCache = open.empty();
+    p.noCache = std::none_of(stores.begin(), stores.end(),
+                             [](const Machine* m) { return m->standing == Standing::ready && !m->aside; });
     Machine* at = firstInBounds(open, p);
     return at && level(*at) <= bearable(p) ? at : nullptr;
   }
