--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -413,7 +413,7 @@
     return worthiness(p) < placePrice + swing * over;
   }
 
-  static Ms knownSending(const Pull& p) { return p.ware->sendingsSeen ? p.sending : p.whole->sending; }
+  static Ms knownSending(const Pull& p) { return p.ware->sendingsSeen ? p.sending : 0; }
 
   // Rule 2: where a further leg of this pull may go.
   bool mayGo(const Pull& p, const Machine& m) const {
@@ -551,7 +551,7 @@
     Ware& w = *p.ware;
     p.expiresAt = now + e.ttl;
     Memory& m = *(p.memory = recall(e.object, e.part));
-    p.whole = recall(e.object, -1), ++m.pins, ++p.whole->pins;
+    ++m.pins;
     p.gap = m.lastPull > longAgo ? now - m.lastPull : 0;
     m.count = m.count * (m.lastPull > longAgo ? std::exp(-p.gap / countAgeing) : 0) + 1;
     m.lastPull = now, p.lastAt = m.lastAt;
@@ -563,7 +563,7 @@
       w.sendingsSeen = std::min(w.sendingsSeen + 1, steady);
       w.meanSending += (p.sending - w.meanSending) / w.sendingsSeen;
     } else {
-      p.sending = p.whole->sending > 0 ? p.whole->sending : w.meanSending;
+      p.sending = w.meanSending;
     }
     p.agreedAt = now + std::min(w.agreed + w.agreedStretch * p.sending, w.expiry);
     p.rank = rankOf(p);
@@ -684,7 +684,7 @@
 
   void forget(Pull& p) {
     if (!p.ended || p.legOut()) return;
-    --p.memory->pins, --p.whole->pins;
+    --p.memory->pins;
     pulls.erase(p.pull);
   }
 
@@ -741,10 +741,6 @@
           if (!p.ware->sendingsSeen)
             p.ware->meanSending += 0.02 * (std::min(e.took, 4 * p.ware->meanSending) - p.ware->meanSending);
         }
-        if (filled || e.remark == Remark::hit) {  // what a joined fill waited lies before this pull
-          Ms sent = std::max(1.0, e.took - e.waited);
-          p.whole->sending = p.whole->sending > 0 ? std::min(p.whole->sending, sent) : sent;
-        }
         p.memory->lastAt = leg.at;
       }
     } else {
--- a/src/records.hpp
+++ b/src/records.hpp
@@ -57,7 +57,6 @@
   Ms lastPull = longAgo;
   double count = 0;           // pulls, ageing
   Machine* lastAt = nullptr;  // the cache that finished it last
-  Ms sending = 0;             // of the object, where sizes are not told; 0: not seen
   int pins = 0;               // pulls under way that point here
 };
 
@@ -73,7 +72,7 @@
 struct Pull : PullCame {
   Ware* ware = nullptr;
   Ms expiresAt = 0, agreedAt = 0, sending = 0, gap = 0;
-  Memory *memory = nullptr, *whole = nullptr;  // of the part, and of the object: its parts are of one size
+  Memory* memory = nullptr;  // of the part
   Machine* lastAt = nullptr;
   int rank = 1;
   bool ended = false, streaming = false, siblingLacked = false, knownMiss = false, spared = false,
