--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -433,8 +433,6 @@
     std::vector<Machine*> open;
     for (Machine* m : inOrder(stores, p.object))
       if (judge(*m) && !p.hasFailed(m) && mayGo(p, *m) && affords(*m, p.ware->meanSending)) open.push_back(m);
-    p.noCache = std::none_of(stores.begin(), stores.end(),
-                             [](const Machine* m) { return m->standing == Standing::ready && !m->aside; });
     Machine* at = firstInBounds(open, p);
     return at && level(*at) <= bearable(p) ? at : nullptr;
   }
@@ -626,13 +624,7 @@
       return send(p, *origin, origin), true;
     count(linkLately, 20, linkLevel());
     Machine* at = chooseStore(p);
-    Machine* source = at || (may.direct && p.noCache) ? chooseSource(p, at) : nullptr;
-    if (!at && source && source->role != Role::store && mayGo(p, *source)) {
-      // No cache is there for it: straight to its parent or the origin, if the link bears it. Guards against
-      // the loss of a location's caches. Harm: nothing is kept of it there.
-      if (linkLevel() > bearable(p)) return false;
-      return send(p, *source, origin ? origin : source), true;
-    }
+    Machine* source = at ? chooseSource(p, at) : nullptr;
     if (!at || (!source && p.knownMiss)) return false;  // nothing can fill it: a further look only adds legs
     // When the link fills up, a pull first only looks; a miss is filled while it can be in time. Guards
     // against any surge of misses (cold caches, purges, scans, large objects). Harm: one round trip.
--- a/src/records.hpp
+++ b/src/records.hpp
@@ -76,7 +76,7 @@
   Machine* lastAt = nullptr;
   int rank = 1;
   bool ended = false, streaming = false, siblingLacked = false, knownMiss = false, spared = false,
-       noCache = false, heldOnly = false;
+       heldOnly = false;
   std::vector<Leg> legs;
   std::vector<Machine*> failed;  // caches and sources that failed this pull
   bool hasFailed(const Machine* m) const { return std::count(failed.begin(), failed.end(), m) > 0; }
