--- /dev/null
+++ b/src/fleet/sim.cpp
@@ -0,0 +1,163 @@
+#include "fleet/sim.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace dunlinwick::fleet {
+
+std::size_t wireSize(const members::Message& m) {
+  constexpr std::size_t udpAndIp = 28, head = 22, news = 13, note = 16;
+  return udpAndIp + head + news * m.news.size() + note * m.notes.size();
+}
+
+namespace {
+// Datagrams in flight at once; past it new ones are lost, as a full socket buffer would lose them.
+constexpr std::size_t mostInFlight = 1000000;
+}  // namespace
+
+Sim::Sim(SimTerms terms) : terms_(std::move(terms)), random_(static_cast<unsigned>(terms_.seed)) {
+  std::size_t n = terms_.places.size();
+  nodes_.resize(n);
+  links_.assign(n * n, Link{});
+  for (Id id = 0; id < n; ++id) start(id);
+}
+
+void Sim::start(Id id) {
+  std::vector<Id> others;
+  std::map<Id, failover::Place> places;
+  for (Id o = 0; o < nodes_.size(); ++o) {
+    places[o] = terms_.places[o];
+    if (o != id) others.push_back(o);
+  }
+  Node& node = nodes_[id];
+  node.up = true, node.paused = false, node.waiting.clear();
+  std::uint32_t incarnation = node.incarnation++;
+  node.swim = std::make_unique<members::Swim>(id, others, incarnation, terms_.members,
+                                               terms_.seed * 1000003 + id * 7919 + incarnation, now_);
+  node.verdicts = std::make_unique<failover::Verdicts>(id, places, terms_.zoneRegion, terms_.failover);
+  settle(id);
+}
+
+void Sim::kill(Id id) { nodes_[id].up = false; }
+void Sim::pause(Id id) { nodes_[id].paused = true; }
+void Sim::resume(Id id) {
+  Node& node = nodes_[id];
+  node.paused = false;
+  for (members::Message& m : std::exchange(node.waiting, {})) deliver(std::move(m));
+}
+void Sim::restart(Id id) {
+  // A new process under the same id: it knows nothing, and takes a newer incarnation, as from the clock.
+  nodes_[id].incarnation += 1000;
+  start(id);
+}
+
+void Sim::cutAround(const std::vector<Id>& group, bool oneWayOut) {
+  std::vector<bool> in(nodes_.size(), false);
+  for (Id id : group) in[id] = true;
+  for (Id a = 0; a < nodes_.size(); ++a)
+    for (Id b = 0; b < nodes_.size(); ++b)
+      if (in[a] && !in[b]) link(a, b).cut = true;
+      else if (!in[a] && in[b] && !oneWayOut) link(a, b).cut = true;
+}
+void Sim::healAll() {
+  for (Link& l : links_) l.cut = false;
+}
+void Sim::everywhere(const std::function<void(Link&)>& change) {
+  for (Link& l : links_) change(l);
+}
+
+void Sim::send(const std::vector<members::Message>& out) {
+  std::uniform_real_distribution<double> unit(0, 1);
+  for (const members::Message& m : out) {
+    ++messages_, bytes_ += wireSize(m);
+    const Link& l = link(m.from, m.to);
+    if (l.cut || unit(random_) < l.loss) continue;
+    int copies = 1 + (unit(random_) < l.duplicate);
+    for (int c = 0; c < copies && flights_.size() < mostInFlight; ++c)
+      flights_.push(Flight{now_ + l.delay + l.jitter * unit(random_), order_++, m});
+  }
+}
+
+void Sim::deliver(members::Message m) {
+  Node& node = nodes_[m.to];
+  if (!node.up) return;
+  if (node.paused) {
+    // The socket's buffer holds what comes while the process stands; past its room the rest is lost.
+    constexpr std::size_t buffered = 256;
+    if (node.waiting.size() < buffered) node.waiting.push_back(std::move(m));
+    return;
+  }
+  std::vector<members::Message> out;
+  node.swim->receive(now_, m, out);
+  send(out);
+  settle(m.to);
+}
+
+void Sim::settle(Id id) {
+  Node& node = nodes_[id];
+  for (const members::Change& c : node.swim->changes())
+    if (!c.noteOnly) seen_.push_back(Seen{now_, id, c.who, c.state});
+  std::vector<Id> alive{id};
+  std::map<Id, failover::Opinion> heard;
+  for (const auto& [other, m] : node.swim->members()) {
+    if (m.state == members::State::dead) continue;
+    alive.push_back(other);
+    if (m.noted) heard[other] = failover::unpack(m.note.bits);
+  }
+  std::uint64_t own = node.verdicts->opinion(alive);
+  if (node.verdicts->decide(now_, own, heard))
+    judged_.push_back(Judged{now_, id, node.verdicts->verdict().out, node.verdicts->verdict().epoch});
+  node.swim->publish(now_, failover::pack(node.verdicts->told(own)));
+  node.wake = node.swim->wakeAt();
+}
+
+void Sim::runUntil(Ms until) {
+  // Every member is looked at least this often, so that hysteresis and suspicions end on time without messages.
+  constexpr Ms longest = 50;
+  while (now_ < until) {
+    Ms next = std::min(until, lastSweep_ + longest);
+    for (const Node& node : nodes_)
+      if (node.up && !node.paused) next = std::min(next, node.wake);
+    if (!flights_.empty()) next = std::min(next, flights_.top().at);
+    now_ = std::max(now_, next);
+    while (!flights_.empty() && flights_.top().at <= now_) {
+      members::Message m = flights_.top().m;
+      flights_.pop();
+      deliver(std::move(m));
+    }
+    bool sweep = now_ >= lastSweep_ + longest;
+    if (sweep) lastSweep_ = now_;
+    for (Id id = 0; id < nodes_.size(); ++id) {
+      Node& node = nodes_[id];
+      if (!node.up || node.paused || (!sweep && node.wake > now_)) continue;
+      std::vector<members::Message> out;
+      if (node.wake <= now_) node.swim->tick(now_, out);
+      send(out);
+      settle(id);
+    }
+  }
+}
+
+bool Sim::allSee(Id about, members::State state) const {
+  for (Id id = 0; id < nodes_.size(); ++id) {
+    if (id == about || !up(id)) continue;
+    members::State s = nodes_[id].swim->members().at(about).state;
+    bool fits = state == members::State::alive ? s != members::State::dead : s == state;
+    if (!fits) return false;
+  }
+  return true;
+}
+
+bool Sim::allJudge(std::uint64_t out) const {
+  std::uint32_t epoch = 0;
+  bool first = true;
+  for (Id id = 0; id < nodes_.size(); ++id) {
+    if (!up(id)) continue;
+    const failover::Verdict& v = nodes_[id].verdicts->verdict();
+    if (v.out != out || (!first && v.epoch != epoch)) return false;
+    epoch = v.epoch, first = false;
+  }
+  return true;
+}
+
+}  // namespace dunlinwick::fleet
--- /dev/null
+++ b/src/fleet/sim.hpp
@@ -0,0 +1,117 @@
+// Many members of a fleet in one process, on a virtual clock and an in-memory network whose links fail on cue:
+// the staged counterpart of `dunlinctl fleet up`. It runs the same pure modules as a front (src/members/,
+// src/failover/), not the front's sockets; one seed replays a run exactly.
+//
+// Faults, each on a directed link or a member: cut (both ways or one), delay with jitter, loss, duplication,
+// kill, pause (datagrams wait in the buffer, as with SIGSTOP) and restart with a new incarnation.
+// Bounds: members as configured (at most a few thousand); datagrams in flight are dropped past 1e6.
+#pragma once
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <string>
+#include <tuple>
+#include <vector>
+
+#include "failover/verdict.hpp"
+#include "members/swim.hpp"
+
+namespace dunlinwick::fleet {
+
+using Ms = double;
+using members::Id;
+
+struct Link {
+  bool cut = false;
+  Ms delay = 0.2, jitter = 0.1;  // one way, ms: loopback-like unless told otherwise
+  double loss = 0, duplicate = 0;
+};
+
+struct SimTerms {
+  members::Terms members;
+  failover::Terms failover;
+  std::vector<failover::Place> places;  // by member id 0..n-1
+  std::vector<int> zoneRegion;
+  std::uint64_t seed = 1;
+};
+
+// What a run saw: members' verdicts of each other as they changed, and the fleet's verdicts.
+struct Seen {
+  Ms at = 0;
+  Id by = 0, about = 0;
+  members::State state = members::State::alive;
+};
+struct Judged {
+  Ms at = 0;
+  Id by = 0;
+  std::uint64_t out = 0;
+  std::uint32_t epoch = 0;
+};
+
+class Sim {
+ public:
+  explicit Sim(SimTerms terms);
+  std::size_t size() const { return nodes_.size(); }
+  Ms now() const { return now_; }
+
+  void runUntil(Ms until);
+  Link& link(Id from, Id to) { return links_[from * nodes_.size() + to]; }
+  void cutAround(const std::vector<Id>& group, bool oneWayOut = false);  // from (and to) the rest
+  void healAll();
+  void everywhere(const std::function<void(Link&)>& change);
+  void kill(Id id);
+  void pause(Id id);
+  void resume(Id id);
+  void restart(Id id);
+
+  bool up(Id id) const { return nodes_[id].up && !nodes_[id].paused; }
+  const members::Swim& swim(Id id) const { return *nodes_[id].swim; }
+  const failover::Verdicts& verdicts(Id id) const { return *nodes_[id].verdicts; }
+  // Whether every member that is up takes `about` as `state` (or, for alive, as alive or suspect).
+  bool allSee(Id about, members::State state) const;
+  bool allJudge(std::uint64_t out) const;  // every member that is up keeps that verdict, at one epoch
+
+  const std::vector<Seen>& seen() const { return seen_; }
+  const std::vector<Judged>& judged() const { return judged_; }
+  std::uint64_t messages() const { return messages_; }
+  std::uint64_t bytes() const { return bytes_; }
+
+ private:
+  struct Node {
+    std::unique_ptr<members::Swim> swim;
+    std::unique_ptr<failover::Verdicts> verdicts;
+    bool up = true, paused = false;
+    std::vector<members::Message> waiting;  // while paused
+    std::uint32_t incarnation = 1;
+    Ms wake = 0;
+  };
+  struct Flight {
+    Ms at;
+    std::uint64_t order;
+    members::Message m;
+    bool operator>(const Flight& o) const { return std::tie(at, order) > std::tie(o.at, o.order); }
+  };
+
+  void start(Id id);
+  void send(const std::vector<members::Message>& out);
+  void deliver(members::Message m);
+  void settle(Id id);  // after a member heard or ticked: its changes, opinion and verdict
+
+  SimTerms terms_;
+  std::vector<Node> nodes_;
+  std::vector<Link> links_;
+  std::priority_queue<Flight, std::vector<Flight>, std::greater<>> flights_;
+  std::knuth_b random_;
+  Ms now_ = 0, lastSweep_ = 0;
+  std::uint64_t order_ = 0, messages_ = 0, bytes_ = 0;
+  std::vector<Seen> seen_;
+  std::vector<Judged> judged_;
+};
+
+// Bytes of a message on the wire (src/fleet/wire.hpp), for the figures.
+std::size_t wireSize(const members::Message& m);
+
+}  // namespace dunlinwick::fleet
--- /dev/null
+++ b/src/members/swim.hpp
@@ -0,0 +1,162 @@
+// Membership and failure detection among the fronts of a fleet: SWIM (Das, Gupta, Motivala 2002) with the three
+// parts of Lifeguard (Dadgar et al. 2018): a local health multiplier, suspicion timeouts that shrink with
+// independent confirmations, and the buddy system. Pure: time and messages in, messages out; the caller carries
+// them (src/front/fleet.* on sockets, tests on the staged ground or in memory).
+//
+// What it promises, and what the tests and the model check in tests/members_test.cpp look at:
+// - A member that stops answering is suspected within one probe period plus a timeout, and taken for dead by
+//   every member that hears of it within the suspicion timeout after that (Lifeguard's bounds, below).
+// - A member that answers again, or hears that it is suspected, refutes with a higher incarnation; news of a higher
+//   incarnation always wins, and at one incarnation dead beats suspect beats alive. So all members that hear the
+//   same news end in the same state, in any order of hearing (tested exhaustively on small sets).
+// - Messages a member sends a period: one probe, the answers to others' probes (one on average), and on a failed
+//   probe `indirect` requests: independent of the fleet's size. Each message carries at most `newsPerMessage`
+//   pieces of news and `notesPerMessage` notes, so its size is bounded too.
+// Bounds: members are those configured (ids at the door) plus none: news of an id that is not configured is passed
+// over. The queue of news holds one piece a member; relayed probes expire after a period.
+#pragma once
+#include <algorithm>
+#include <cstdint>
+#include <map>
+#include <random>
+#include <vector>
+
+namespace dunlinwick::members {
+
+using Ms = double;
+using Id = std::uint32_t;  // a front's number in the fleet, as configured
+
+enum class State : std::uint8_t { alive, suspect, dead };
+const char* word(State state);
+
+struct News {
+  Id who = 0;
+  std::uint32_t incarnation = 0;
+  State state = State::alive;
+  Id by = 0;  // who suspected or declared, for Lifeguard's independent confirmations
+};
+
+// A small piece of state that a member publishes for the others, spread with the news: the latest by sequence
+// wins. Failover's opinions ride on it (src/failover/).
+struct Note {
+  Id origin = 0;
+  std::uint32_t seq = 0;
+  std::uint64_t bits = 0;
+};
+
+enum class Kind : std::uint8_t { ping, ack, askPing, nack };
+const char* word(Kind kind);
+
+struct Message {
+  Kind kind = Kind::ping;
+  Id from = 0, to = 0;
+  std::uint32_t seq = 0;
+  Id target = 0;  // askPing, and the ack or nack that answers it: whom to probe
+  std::vector<News> news;
+  std::vector<Note> notes;
+};
+
+struct Terms {
+  // One probe a period (SWIM's T'); a direct answer is awaited `probeTimeout`, the indirect ones until the end
+  // of the period. Both are multiplied by the local health (Lifeguard), up to (healthMost + 1) times.
+  Ms period = 500, probeTimeout = 150;
+  int indirect = 3;  // SWIM's k
+  // Lifeguard's suspicion timeout: from alpha * log10(n) periods (at least alpha), shrinking from beta times that
+  // to it as `confirmations` independent suspicions come in. The paper's figures: alpha 5, beta 6, K 3, S 8.
+  double alpha = 5, beta = 6;
+  int confirmations = 3, healthMost = 8;
+  int retransmit = 4;  // each piece of news is sent retransmit * ceil(log10(n + 1)) times (SWIM's lambda)
+  std::size_t newsPerMessage = 8, notesPerMessage = 4;
+  Ms noteRefresh = 5000;  // a note is published again this often, so that members who come late hear it
+  // A member taken for dead is probed again, one at a time this often, so that the two sides of a healed partition
+  // find each other (as Serf's reconnect does); the probe tells it that it is held dead, so that it refutes.
+  Ms reconnect = 2000;
+};
+
+struct Member {
+  Id id = 0;
+  State state = State::alive;
+  std::uint32_t incarnation = 0;
+  Ms since = 0;        // of the present state
+  Ms deadAt = 0;       // of a suspect: when it is taken for dead
+  std::vector<Id> suspectedBy;  // independent confirmations, at most Terms::confirmations + 1
+  Note note;
+  bool noted = false;
+};
+
+// What changed, for the layer above: a member's state, or a note heard.
+struct Change {
+  Id who = 0;
+  State state = State::alive;
+  std::uint32_t incarnation = 0;
+  bool noteOnly = false;
+};
+
+class Swim {
+ public:
+  // `others`: every other configured member, taken as alive at incarnation 0 until heard of. `incarnation`: the
+  // start's, best from the clock in seconds, so that a restart under the same id is newer than all it was.
+  Swim(Id self, std::vector<Id> others, std::uint32_t incarnation, Terms terms, std::uint64_t seed, Ms now);
+
+  void tick(Ms now, std::vector<Message>& out);  // call at wakeAt() or later
+  void receive(Ms now, const Message& m, std::vector<Message>& out);
+  void publish(Ms now, std::uint64_t bits);      // own note; spread from the next message on
+  Ms wakeAt() const;
+
+  Id self() const { return self_; }
+  std::uint32_t incarnation() const { return incarnation_; }
+  int health() const { return health_; }  // Lifeguard's local health multiplier, 0 (well) to healthMost
+  const std::map<Id, Member>& members() const { return members_; }  // without self
+  const Note& note() const { return own_; }
+  std::vector<Change> changes();  // since the last call; emptied by it
+  std::size_t alive() const;      // counting self
+
+ private:
+  struct Queued {
+    News news;
+    int sent = 0;
+  };
+  struct Relay {  // a probe made for somebody else
+    Id asker = 0, target = 0;
+    std::uint32_t askerSeq = 0;
+    Ms until = 0;
+  };
+  struct Probe {
+    Id target = 0;
+    std::uint32_t seq = 0;
+    Ms timeoutAt = 0, endsAt = 0;
+    bool answered = true, askedOthers = false;
+    int nacksDue = 0;
+  };
+
+  Message make(Kind kind, Id to, std::uint32_t seq, Id target);
+  void startProbe(Ms now, std::vector<Message>& out);
+  void endProbe(Ms now);
+  void hear(Ms now, const News& n);
+  void hearNote(const Note& n);
+  void set(Ms now, Member& m, State state, std::uint32_t incarnation, Id by);
+  void spread(const News& n);
+  void refute(Ms now);
+  Ms suspicionTimeout(std::size_t confirmations) const;
+  int retransmits() const;
+  void better(int by) { health_ = std::clamp(health_ + by, 0, terms_.healthMost); }
+
+  Id self_;
+  std::uint32_t incarnation_;
+  Terms terms_;
+  std::knuth_b random_;
+  std::map<Id, Member> members_;
+  std::vector<Id> order_;  // of probing: shuffled each round
+  std::size_t next_ = 0;
+  std::vector<Queued> queue_;                 // at most one a member, self included
+  std::map<Id, int> noteSent_;                // by origin: how often its latest note went out
+  std::map<std::uint32_t, Relay> relays_;     // by own seq; expire
+  Probe probe_;
+  Note own_;
+  Ms nextProbeAt_ = 0, noteAt_ = 0, reconnectAt_ = 0;
+  std::uint32_t seq_ = 0;
+  int health_ = 0;
+  std::vector<Change> changes_;
+};
+
+}  // namespace dunlinwick::members
