--- a/src/front/charter.cpp
+++ b/src/front/charter.cpp
@@ -22,6 +22,77 @@
   return *at;
 }
 
+// Refused whole, with the field and the reason.
+static FleetTerms readFleet(const Value& f) {
+  FleetTerms t;
+  t.on = true;
+  auto fault = [](const std::string& where, const std::string& why) {
+    return std::runtime_error("fleet." + where + ": " + why);
+  };
+  auto whole = [&](const Value& in, const char* name, double least, double most) {
+    const Value* v = in.find(name, Kind::number);
+    if (!v) throw fault(name, "wanted, a number");
+    double n = v->asNumber();
+    if (!(n >= least && n <= most) || n != static_cast<double>(static_cast<long long>(n)))
+      throw fault(name, "a whole number from " + std::to_string(static_cast<long long>(least)) + " to " +
+                            std::to_string(static_cast<long long>(most)) + " wanted");
+    return n;
+  };
+  auto ms = [&](const char* name, double& into, double least, double most) {
+    if (f.find(name)) into = whole(f, name, least, most);
+  };
+  const Value* zones = f.find("zones", Kind::list);
+  if (!zones || zones->items.empty() || zones->items.size() > 16) throw fault("zones", "1 to 16 zones wanted");
+  std::vector<std::string> regions;
+  for (std::size_t i = 0; i < zones->items.size(); ++i) {
+    const Value& z = zones->items[i];
+    std::string where = "zones[" + std::to_string(i) + "]";
+    std::string name(z.word("name")), region(z.word("region"));
+    if (name.empty() || region.empty()) throw fault(where, "a name and a region wanted");
+    if (std::find(t.zones.begin(), t.zones.end(), name) != t.zones.end()) throw fault(where, "named twice");
+    auto r = std::find(regions.begin(), regions.end(), region);
+    if (r == regions.end()) regions.push_back(region), r = regions.end() - 1;
+    t.zones.push_back(name);
+    t.zoneRegion.push_back(static_cast<int>(r - regions.begin()));
+  }
+  const Value* members = f.find("members", Kind::list);
+  if (!members || members->items.empty() || members->items.size() > 1000)
+    throw fault("members", "1 to 1000 members wanted");
+  t.self = static_cast<std::uint32_t>(whole(f, "self", 0, 1e9));
+  bool self = false;
+  for (std::size_t i = 0; i < members->items.size(); ++i) {
+    const Value& m = members->items[i];
+    std::string where = "members[" + std::to_string(i) + "]";
+    FleetMember one;
+    try {
+      one.id = static_cast<std::uint32_t>(whole(m, "id", 0, 1e9));
+    } catch (const std::runtime_error&) {
+      throw fault(where + ".id", "a whole number wanted");
+    }
+    auto at = loop::readAddress(m.word("at"));
+    if (!at) throw fault(where + ".at", "an address such as 127.0.0.10:7400 wanted");
+    one.at = *at;
+    auto z = std::find(t.zones.begin(), t.zones.end(), m.word("zone"));
+    if (z == t.zones.end()) throw fault(where + ".zone", "not among zones");
+    one.zone = static_cast<int>(z - t.zones.begin());
+    for (const FleetMember& other : t.members)
+      if (other.id == one.id) throw fault(where + ".id", "given twice");
+    self |= one.id == t.self;
+    t.members.push_back(one);
+  }
+  if (!self) throw fault("self", "not among members");
+  auto listen = loop::readAddress(f.word("listen"));
+  if (!listen) throw fault("listen", "an address such as 127.0.0.10:7400 wanted");
+  t.listen = *listen;
+  ms("period_ms", t.swim.period, 50, 60000);
+  ms("probe_timeout_ms", t.swim.probeTimeout, 10, 60000);
+  ms("hold_back_ms", t.verdict.holdBack, 0, 600000);
+  if (!(t.swim.probeTimeout < t.swim.period)) throw fault("probe_timeout_ms", "shorter than period_ms wanted");
+  if (f.find("quorum")) t.verdict.quorum = static_cast<int>(whole(f, "quorum", 1, 1000));
+  if (t.verdict.quorum > static_cast<int>(t.members.size())) throw fault("quorum", "more than the members");
+  return t;
+}
+
 Charter readCharter(const std::string& path, const std::string& listen) {
   std::ifstream file(path, std::ios::binary);
   std::stringstream text;
@@ -54,6 +125,10 @@
   // The protocol: clients hold at most a third of the descriptor limit, and one request on each.
   int third = static_cast<int>(c.descriptors / 3);
   c.sheet.places = c.sheet.places > 0 ? std::min(c.sheet.places, third) : third;
+  if (const Value* fleet = all->find("fleet")) {
+    if (fleet->kind != Kind::object) throw std::runtime_error("fleet: an object wanted");
+    c.fleet = readFleet(*fleet);
+  }
   return c;
 }
 
--- a/src/front/charter.hpp
+++ b/src/front/charter.hpp
@@ -1,6 +1,10 @@
 // What a front is told at its start: who it is, where it listens, whom it knows, and the sheet.
 #pragma once
 #include <string>
+#include <vector>
+
+#include "failover/verdict.hpp"
+#include "members/swim.hpp"
 
 #include "json/json.hpp"
 #include "loop/connection.hpp"
@@ -8,6 +12,24 @@
 
 namespace dunlinwick::front {
 
+// The fleet block: membership and the verdict in common among fronts (src/members/, src/failover/). Off where
+// the configuration has none. It opens one UDP socket, `listen`.
+struct FleetMember {
+  std::uint32_t id = 0;
+  loop::Address at{};  // where this front sends to reach it
+  int zone = 0;
+};
+struct FleetTerms {
+  bool on = false;
+  std::uint32_t self = 0;
+  loop::Address listen{};
+  std::vector<FleetMember> members;  // self among them
+  std::vector<std::string> zones;
+  std::vector<int> zoneRegion;
+  members::Terms swim;
+  failover::Terms verdict;
+};
+
 struct Charter {
   std::string name, boardText;
   loop::Address listen{}, board{};
@@ -17,6 +39,7 @@
   json::Value known;  // the notice board's events up to now
   StoreSheet sheet;
   sheet::RoadTerms terms;
+  FleetTerms fleet;
 };
 
 // Throws std::runtime_error with one line that says what is wrong. `listen`: in place of the file's, if
--- /dev/null
+++ b/src/front/fleet.cpp
@@ -0,0 +1,163 @@
+#include "front/fleet.hpp"
+
+#include <poll.h>
+
+#include <cerrno>
+#include <cstdio>
+#include <stdexcept>
+
+#include "fleet/wire.hpp"
+#include "log/log.hpp"
+
+namespace dunlinwick::front {
+
+namespace {
+
+std::vector<members::Id> others(const FleetTerms& t) {
+  std::vector<members::Id> ids;
+  for (const FleetMember& m : t.members)
+    if (m.id != t.self) ids.push_back(m.id);
+  return ids;
+}
+
+std::map<failover::Id, failover::Place> places(const FleetTerms& t) {
+  std::map<failover::Id, failover::Place> all;
+  for (const FleetMember& m : t.members) all[m.id] = {m.zone, t.zoneRegion[static_cast<std::size_t>(m.zone)]};
+  return all;
+}
+
+int opened(loop::Loop& loop, const FleetTerms& t) {
+  int fd = loop.ground().openDatagrams(t.listen);
+  if (fd < 0) throw std::runtime_error("fleet.listen cannot be had: " + std::to_string(-fd));
+  return fd;
+}
+
+}  // namespace
+
+// The start's incarnation is the clock in seconds: a front restarted under the same id is newer than it was.
+Fleet::Fleet(loop::Loop& loop, const FleetTerms& terms, std::uint64_t seed)
+    : loop_(loop),
+      terms_(terms),
+      socket_(loop.ground(), opened(loop, terms)),
+      swim_(terms.self, others(terms), static_cast<std::uint32_t>(loop.now() / 1000), terms.swim, seed, loop.now()),
+      verdicts_(terms.self, places(terms), terms.zoneRegion, terms.verdict) {
+  loop_.watch(socket_.get(), *this, POLLIN);
+  log::say("fleet member %u of %zu, zone %s, quorum %d", terms_.self, terms_.members.size(),
+           terms_.zones[static_cast<std::size_t>(places(terms_).at(terms_.self).zone)].c_str(), verdicts_.quorum());
+  settle();
+  arm();
+}
+
+Fleet::~Fleet() {
+  loop_.cancel(timer_);
+  loop_.forget(socket_.get());
+}
+
+void Fleet::arm() {
+  // Looked at least this often, so that the hysteresis of the verdict ends on time without messages.
+  constexpr loop::Ms longest = 100;
+  loop_.cancel(timer_);
+  timer_ = loop_.at(std::min(swim_.wakeAt(), loop_.now() + longest), [this] { wake(); });
+}
+
+void Fleet::wake() {
+  std::vector<members::Message> out;
+  swim_.tick(loop_.now(), out);
+  send(out);
+  settle();
+  arm();
+}
+
+void Fleet::send(const std::vector<members::Message>& out) {
+  for (const members::Message& m : out)
+    for (const FleetMember& to : terms_.members)
+      if (to.id == m.to) {
+        std::string bytes = fleet::encode(m);
+        ++sent_;
+        loop_.ground().sendTo(socket_.get(), bytes, to.at);  // lost where the system can't take it: as on a wire
+      }
+}
+
+void Fleet::ready(short) {
+  constexpr int mostATurn = 64;
+  char buffer[1024];
+  for (int i = 0; i < mostATurn; ++i) {
+    loop::Address from{};
+    ssize_t got = loop_.ground().receiveFrom(socket_.get(), buffer, from);
+    if (got < 0) break;
+    std::span<const char> bytes(buffer, static_cast<std::size_t>(got));
+    if (fleet::isViewRequest(bytes)) {
+      std::string text = view();
+      loop_.ground().sendTo(socket_.get(), text, from);
+      continue;
+    }
+    auto m = fleet::decode(bytes);
+    if (!m) {
+      ++refused_;  // a peer's bytes never throw, nor reach the log
+      continue;
+    }
+    ++received_;
+    std::vector<members::Message> out;
+    swim_.receive(loop_.now(), *m, out);
+    send(out);
+  }
+  settle();
+  arm();
+}
+
+void Fleet::settle() {
+  for (const members::Change& c : swim_.changes())
+    if (!c.noteOnly) log::say("fleet member %u %s incarnation %u", c.who, members::word(c.state), c.incarnation);
+  std::vector<members::Id> alive{terms_.self};
+  std::map<failover::Id, failover::Opinion> heard;
+  for (const auto& [id, m] : swim_.members()) {
+    if (m.state == members::State::dead) continue;
+    alive.push_back(id);
+    if (m.noted) heard[id] = failover::unpack(m.note.bits);
+  }
+  own_ = verdicts_.opinion(alive);
+  if (verdicts_.decide(loop_.now(), own_, heard)) {
+    const failover::Verdict& v = verdicts_.verdict();
+    std::string out, shares;
+    for (std::size_t z = 0; z < terms_.zones.size(); ++z) {
+      if (v.out >> z & 1) out += (out.empty() ? "" : ",") + terms_.zones[z];
+      char share[64];
+      std::snprintf(share, sizeof share, "%s%s=%.2f", z ? "," : "", terms_.zones[z].c_str(), v.shares[z]);
+      shares += share;
+    }
+    log::say("fleet verdict epoch %u out %s shares %s%s", v.epoch, out.empty() ? "none" : out.c_str(),
+             shares.c_str(), v.panic ? " panic" : "");
+  }
+  swim_.publish(loop_.now(), failover::pack(verdicts_.told(own_)));
+}
+
+std::string Fleet::view() const {
+  const failover::Verdict& v = verdicts_.verdict();
+  std::string s = "{\"self\":" + std::to_string(terms_.self) + ",\"incarnation\":" +
+                  std::to_string(swim_.incarnation()) + ",\"health\":" + std::to_string(swim_.health()) +
+                  ",\"epoch\":" + std::to_string(v.epoch) + ",\"panic\":" + (v.panic ? "true" : "false") +
+                  ",\"sent\":" + std::to_string(sent_) + ",\"received\":" + std::to_string(received_) +
+                  ",\"refused\":" + std::to_string(refused_) + ",\"out\":[";
+  bool first = true;
+  for (std::size_t z = 0; z < terms_.zones.size(); ++z)
+    if (v.out >> z & 1) s += (first ? "\"" : ",\"") + terms_.zones[z] + "\"", first = false;
+  s += "],\"shares\":{";
+  for (std::size_t z = 0; z < terms_.zones.size(); ++z) {
+    char share[32];
+    std::snprintf(share, sizeof share, "%.4f", v.shares[z]);
+    s += (z ? ",\"" : "\"") + terms_.zones[z] + "\":" + share;
+  }
+  s += "},\"members\":[";
+  first = true;
+  for (const auto& [id, m] : swim_.members()) {
+    std::string zone;
+    for (const FleetMember& f : terms_.members)
+      if (f.id == id) zone = terms_.zones[static_cast<std::size_t>(f.zone)];
+    s += std::string(first ? "" : ",") + "{\"id\":" + std::to_string(id) + ",\"state\":\"" + members::word(m.state) +
+         "\",\"incarnation\":" + std::to_string(m.incarnation) + ",\"zone\":\"" + zone + "\"}";
+    first = false;
+  }
+  return s + "]}";
+}
+
+}  // namespace dunlinwick::front
--- /dev/null
+++ b/src/front/fleet.hpp
@@ -0,0 +1,45 @@
+// The fleet's part of a front: membership and the verdict in common over one UDP socket on the loop's ground. Thin:
+// what it decides is in src/members/ and src/failover/; here are the socket, the timer and the log.
+//
+// It logs each change it sees, one line each, for operators and for the checker across processes:
+//   fleet member 3 dead incarnation 1764629600
+//   fleet verdict epoch 2 out b shares a=1.00,b=0.00,c=0.00
+// It answers a view request ("DW?") from anywhere on loopback with its view as one JSON object.
+// Bounds: one datagram in, at most a few out, a turn; 64 datagrams are read a turn at most.
+#pragma once
+#include <memory>
+#include <string>
+
+#include "failover/verdict.hpp"
+#include "front/charter.hpp"
+#include "loop/loop.hpp"
+#include "members/swim.hpp"
+
+namespace dunlinwick::front {
+
+class Fleet final : loop::Handler {
+ public:
+  // Throws std::runtime_error where the socket can't be had.
+  Fleet(loop::Loop& loop, const FleetTerms& terms, std::uint64_t seed);
+  ~Fleet();
+  std::string view() const;  // JSON
+  const failover::Verdict& verdict() const { return verdicts_.verdict(); }
+
+ private:
+  void ready(short events) override;
+  void wake();
+  void send(const std::vector<members::Message>& out);
+  void settle();
+  void arm();
+
+  loop::Loop& loop_;
+  FleetTerms terms_;
+  loop::Descriptor socket_;
+  members::Swim swim_;
+  failover::Verdicts verdicts_;
+  std::uint64_t own_ = 0;
+  std::uint64_t timer_ = 0;
+  std::uint64_t sent_ = 0, received_ = 0, refused_ = 0;
+};
+
+}  // namespace dunlinwick::front
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -49,6 +49,7 @@
   exchange_.meet(caches_);
   if (!board_.begin(c.known)) throw std::runtime_error("configuration lacks usable events under known");
   board_.follow();
+  if (c.fleet.on) fleet_ = std::make_unique<Fleet>(loop, c.fleet, c.seed);
 }
 
 void Front::follow(const Charter& c) {
--- a/src/front/front.hpp
+++ b/src/front/front.hpp
@@ -4,6 +4,9 @@
 #include "caches/caches.hpp"
 #include "clients/clients.hpp"
 #include "front/charter.hpp"
+#include "front/fleet.hpp"
+
+#include <memory>
 
 namespace dunlinwick::front {
 
@@ -25,6 +28,7 @@
   caches::Caches caches_;
   board::Board board_;
   clients::Clients clients_;
+  std::unique_ptr<Fleet> fleet_;  // with a fleet block only
   bool stopping_ = false;
 };
 
