--- a/src/fleet/sim.cpp
+++ b/src/fleet/sim.cpp
@@ -1,13 +1,15 @@
 #include "fleet/sim.hpp"
 
+#include "fleet/wire.hpp"
+
 #include <algorithm>
 #include <utility>
 
 namespace dunlinwick::fleet {
 
 std::size_t wireSize(const members::Message& m) {
-  constexpr std::size_t udpAndIp = 28, head = 22, news = 13, note = 16;
-  return udpAndIp + head + news * m.news.size() + note * m.notes.size();
+  constexpr std::size_t udpAndIp = 28;
+  return udpAndIp + encode(m).size();
 }
 
 namespace {
--- a/src/fleet/sim.hpp
+++ b/src/fleet/sim.hpp
@@ -111,7 +111,7 @@
   std::vector<Judged> judged_;
 };
 
-// Bytes of a message on the wire (src/fleet/wire.hpp), for the figures.
+// Bytes of a message on the wire (src/fleet/wire.hpp) with UDP and IP headers, for the figures.
 std::size_t wireSize(const members::Message& m);
 
 }  // namespace dunlinwick::fleet
--- a/src/members/swim.cpp
+++ b/src/members/swim.cpp
@@ -105,8 +105,7 @@
   }
 }
 
-void Swim::refute(Ms now) {
-  (void)now;
+void Swim::refute() {
   spread(News{self_, incarnation_, State::alive, self_});
   better(+1);  // Lifeguard: being suspected hints that this member is the slow one
 }
@@ -115,7 +114,7 @@
   if (n.who == self_) {
     if (n.state != State::alive && n.incarnation >= incarnation_) {
       incarnation_ = n.incarnation + 1;
-      refute(now);
+      refute();
     }
     return;
   }
@@ -199,7 +198,7 @@
       Id id = order_[next_++];
       auto found = members_.find(id);
       if (found == members_.end() || found->second.state == State::dead) continue;
-      probe_ = Probe{id, ++seq_, now + terms_.probeTimeout * scale, nextProbeAt_, false, false, 0};
+      probe_ = Probe{id, ++seq_, now + terms_.probeTimeout * scale, false, false, 0};
       out.push_back(make(Kind::ping, id, probe_.seq, id));
       return;
     }
--- a/src/members/swim.hpp
+++ b/src/members/swim.hpp
@@ -124,7 +124,7 @@
   struct Probe {
     Id target = 0;
     std::uint32_t seq = 0;
-    Ms timeoutAt = 0, endsAt = 0;
+    Ms timeoutAt = 0;
     bool answered = true, askedOthers = false;
     int nacksDue = 0;
   };
@@ -136,7 +136,7 @@
   void hearNote(const Note& n);
   void set(Ms now, Member& m, State state, std::uint32_t incarnation, Id by);
   void spread(const News& n);
-  void refute(Ms now);
+  void refute();
   Ms suspicionTimeout(std::size_t confirmations) const;
   int retransmits() const;
   void better(int by) { health_ = std::clamp(health_ + by, 0, terms_.healthMost); }
