The module takes the fleet's shares by zone and tells what it sets aside

Need: the verdict in common (src/failover/) steered nothing. The module now takes ZoneShares as a fact: objects go by hash to other zones' caches as the shares say; a ticket known to one zone stays; none where no verdict is told, so the ordinary path is as before.

--- a/src/benchlink/codec.cpp
+++ b/src/benchlink/codec.cpp
@@ -205,6 +205,7 @@
     out.u16(76);
     out.text(a.text);
   }
+  void operator()(const TellHealth&) const {}  // for a fleet of fronts; the simulator has no word for it
 };
 }  // namespace
 
--- a/src/benchlink/host.cpp
+++ b/src/benchlink/host.cpp
@@ -35,6 +35,7 @@
     if (at == fronts_.end()) continue;  // news for a front that was killed
     try {
       for (const Action& action : at->second.handle(header.clock, event)) {
+        if (std::holds_alternative<TellHealth>(action)) continue;  // no word for it here
         speakFor(front);
         writeAction(action, out);
       }
--- a/src/exchange/exchange.hpp
+++ b/src/exchange/exchange.hpp
@@ -112,6 +112,9 @@
   void listCame(bool whole, const std::vector<Listed>& entries);
   void purgeCame(bool wholeGroup, std::string_view object, int group, Ms at);
 
+  // from the fleet's verdict
+  void sharesCame(std::vector<double> byZone) { tell(ZoneShares{std::move(byZone)}); }
+
  private:
   struct Leg {
     std::uint32_t cache = 0;
@@ -140,6 +143,7 @@
   void act(const ProbeCache& a);
   void act(const FollowList&) {}  // the notice board is always followed
   void act(const WriteLine& a);
+  void act(const TellHealth&) {}  // heard where the module is wrapped (src/front/front.cpp)
   Pull* known(std::uint32_t pull);
   Leg* legOut(LegKey key);
   void endLeg(LegKey key, Ending ending, const Word& word = {}, int fellWith = 0);
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -70,6 +70,8 @@
   std::vector<Action>* todo = nullptr;
   std::map<std::uint32_t, Machine> machines;
   std::vector<Machine*> stores, parents;
+  std::vector<double> shares;                 // of pulls, by zone; empty: all stay in the own
+  std::map<int, std::vector<Machine*>> away;  // other zones' caches
   Machine* origin = nullptr;
   std::map<std::uint32_t, Pull> pulls;  // emptied when a pull has ended and its last leg is in
   std::list<Memory> memories;           // oldest first
@@ -118,7 +120,7 @@
     if (news.listing != Listing::changes)
       for (auto& [id, m] : machines) m.standing = Standing::gone;  // one that a full list lacks has left
     for (const ListEntry& e : news.entries) takeEntry(e);
-    stores.clear(), parents.clear(), origin = nullptr;
+    stores.clear(), parents.clear(), away.clear(), origin = nullptr;
     std::erase_if(machines, [&](auto& one) { return left(one.second); });
     if (!linkTold) link.nominal = 0;
     for (auto& [id, m] : machines) {
@@ -128,6 +130,7 @@
       if (!linkTold && m.role == Role::store) link.nominal += m.room.nominal / (weighed ? 3 : 2);
       if (m.role == Role::store) stores.push_back(&m);
       if (m.role == Role::parent) parents.push_back(&m);
+      if (m.role == Role::foreign) away[m.zone].push_back(&m);
       if (m.role == Role::origin && (!origin || m.standing == Standing::ready)) origin = &m;
     }
     if (link.fits <= 0) link.fits = link.nominal;
@@ -158,17 +161,20 @@
              : e.zone == zone       ? Role::store
                                     : Role::foreign;
     if (m.startedAt > before) {  // a new start: what was known of the old process is void
+      if (m.aside) act(TellHealth{m.cache, false});
       m.strikes = 0, m.aside = m.trialOut = false, m.room = {};
     }
     // Weights absent: a cache is held to carry four transfers, a small machine's worth, a source ample;
     // answers correct both. Until they prove more, cold budgets go by the four.
     constexpr double small = 4, ample = 200;
-    m.room.nominal = m.role == Role::store ? small : ample;
+    m.room.nominal = isCache(m) ? small : ample;
     if (weighed && m.role != Role::origin) m.room.nominal = m.weight;
     m.room.proven = std::max(m.room.proven, small);
     if (m.room.fits <= 0) m.room.fits = m.room.nominal;
   }
 
+  static bool isCache(const Machine& m) { return m.role == Role::store || m.role == Role::foreign; }
+
   const ColdTerms* coldTerms(const Machine& m) const {
     if (m.role == Role::origin || m.startedAt <= 0) return nullptr;
     const ColdTerms& t = m.role == Role::parent ? coldParent : coldStore;
@@ -335,7 +341,7 @@
     m.strikes += by, m.answers = 0, m.trialOut = false;
     if (m.aside ? now < m.asideUntil : m.strikes < strikesOut) return;
     m.pause = m.aside ? std::min(2 * m.pause, longestPause) : firstPause;
-    if (!m.aside) say("set aside", m);
+    if (!m.aside) say("set aside", m), act(TellHealth{m.cache, true});
     m.aside = true, m.asideUntil = now + m.pause;
     if (may.probe) act(WakeMe{m.asideUntil, wakeMachine << 56 | m.cache});
   }
@@ -347,7 +353,7 @@
     // One that could not be reached may be a new process that the list has not told of: it is taken for cold.
     if (m.mayBeNew) m.startedAt = now;
     m.aside = m.trialOut = m.mayBeNew = false;
-    say("is back", m);
+    say("is back", m), act(TellHealth{m.cache, false});
   }
 
   void probed(const ProbeEnded& e) {
@@ -355,7 +361,7 @@
     if (at == machines.end() || !at->second.aside) return;
     if (!e.answered) return at->second.mayBeNew = true, strike(at->second);
     if (++at->second.answers < 2) return act(WakeMe{now + second / 10, wakeMachine << 56 | e.cache});
-    if (at->second.role == Role::store) absolve(at->second);
+    if (isCache(at->second)) absolve(at->second);
   }
 
   // ---- cache choice
@@ -430,20 +436,46 @@
   }
 
   Machine* chooseStore(Pull& p) {
+    int to = zoneFor(p);
+    Machine* at = to == zone ? nullptr : chooseAmong(p, away[to]);
+    return at ? at : chooseAmong(p, stores);
+  }
+  Machine* chooseAmong(Pull& p, const std::vector<Machine*>& caches) {
     std::vector<Machine*> open;
-    for (Machine* m : inOrder(stores, p.object))
+    for (Machine* m : inOrder(caches, p.object))
       if (judge(*m) && !p.hasFailed(m) && mayGo(p, *m) && affords(*m, p.ware->meanSending)) open.push_back(m);
     Machine* at = firstInBounds(open, p);
     return at && level(*at) <= bearable(p) ? at : nullptr;
   }
 
+  // The fleet's verdict says which share of pulls goes to which zone: objects by hash, the same at all fronts
+  // of a zone. Guards against a zone whose caches are lost to all its fronts. Harm: misses abroad until kept
+  // there. A ticket known to one zone stays: a client's repeat, after the shares moved, would run
+  // twice. Without probes a cache that is due its trial gets it, else none would ever be back.
+  int zoneFor(const Pull& p) const {
+    const Offering& o = *p.ware;
+    if (shares.empty() || (o.effect == Effect::ticketed && o.span != Span::everywhere)) return zone;
+    if (!may.probe && o.effect == Effect::rerunnable && p.legs.empty())
+      for (const Machine* m : stores)
+        if (m->aside && usable(*m)) return zone;
+    double left = static_cast<double>(mixed(p.object ^ 0x5eedull) >> 11) * 0x1p-53;  // not the homes' hash
+    if ((left -= shares[static_cast<std::size_t>(zone)]) < 0) return zone;
+    for (auto& [z, caches] : away)
+      if (z < static_cast<int>(shares.size()) && (left -= shares[static_cast<std::size_t>(z)]) < 0) return z;
+    return zone;
+  }
+  void takeShares(const std::vector<double>& told) {
+    shares = zone < static_cast<int>(told.size()) ? told : std::vector<double>{};
+  }
+
   // Where a miss is filled from: a cache of the location that finished the part within omega, when its home
   // has moved; else the object's parent, moving on in hash order; else the origin. nullptr: no fill.
   Machine* chooseSource(Pull& p, const Machine* at) {
     auto open = [&](Machine* m) { return judge(*m) && !p.hasFailed(m) && affords(*m, p.ware->meanSending); };
     if (p.ware->neverKept && origin && open(origin)) return origin;
-    if (lateral && !p.siblingLacked && p.lastAt && at && p.lastAt != at && p.lastAt->role == Role::store &&
-        p.gap < p.ware->omega && purgedAt(p) == longAgo && open(p.lastAt) && level(*p.lastAt) < 1.5)
+    if (lateral && !p.siblingLacked && p.lastAt && at && p.lastAt != at && isCache(*p.lastAt) &&
+        p.lastAt->zone == at->zone && p.gap < p.ware->omega && purgedAt(p) == longAgo && open(p.lastAt) &&
+        level(*p.lastAt) < 1.5)
       return p.lastAt;
     std::vector<Machine*> able;
     for (Machine* m : inOrder(parents, p.object))
@@ -580,7 +612,7 @@
     // A fill passes on what it gets: held up by a full link or a crowded source it takes little of the cache.
     if (p.knownMiss && leg.source) leg.load = 1 / std::max({1.0, linkLevel(), leg.source->pace});
     count(at, leg.load);
-    bool outside = at.role != Role::store || (leg.source && leg.source->role != Role::store);
+    bool outside = at.role != Role::store || (leg.source && !isCache(*leg.source));
     // A leg that may yet prove a hit counts for three in ten, a usual share of misses.
     leg.fill = !outside ? 0 : p.knownMiss || at.role != Role::store ? 1 : 0.3;
     count(linkFills, crew, linkFills.out + leg.fill);
@@ -631,7 +663,7 @@
     if (!at || (!source && p.knownMiss)) return false;  // nothing can fill it: a further look only adds legs
     // When the link fills up, a pull first only looks; a miss is filled while it can be in time. Guards
     // against any surge of misses (cold caches, purges, scans, large objects). Harm: one round trip.
-    if (source && source->role != Role::store && !p.ware->neverKept) {
+    if (source && !isCache(*source) && !p.ware->neverKept && at->role == Role::store) {
       // A burst is borne, a level that lasts is cut to half, since sources behind the link are as
       // crowded and no front sees it; so is that of a link not told, learnt from fills that such sources
       // stretch.
@@ -721,10 +753,10 @@
         leg.source->lastGood = std::max(leg.source->lastGood, leg.sentAt);
         absolve(*leg.source);
       }
-      if (leg.at->role == Role::store && !p.ware->neverKept) {
+      if (isCache(*leg.at) && !p.ware->neverKept) {
         if (hit || filled) learnOmega(p, leg, hit);
         Ms own = knownSending(p);
-        if (filled && leg.source && leg.source->role != Role::store) {
+        if (filled && leg.source && !isCache(*leg.source) && leg.at->role == Role::store) {
           Ms took = e.took - theWay, waited = std::max(1.0, took - own);
           if (!remarks) fillWait = fillWait <= 0 ? waited : fillWait * (waited > fillWait ? 1.02 : 0.98);
           if (remarks) learnFill(leg, own, took - e.waited);
@@ -748,7 +780,7 @@
   // Whose fault an ending was, and whom this pull avoids from now on.
   void blame(Pull& p, Leg& leg, const LegEnded& e) {
     Machine* source = leg.source;
-    bool sibling = source && source->role == Role::store;
+    bool sibling = source && isCache(*source);
     Ms own = knownSending(p);
     if (e.remark != Remark::sourceLacks) p.spared = false;
     if (e.remark == Remark::originFailed) learnOrigin(std::max(e.waited, 10 * originCalm));
@@ -809,6 +841,7 @@
   if (auto* woke = std::get_if<WakeUp>(&event)) d.wake(*woke);
   if (auto* probe = std::get_if<ProbeEnded>(&event)) d.probed(*probe);
   if (auto* purge = std::get_if<Purged>(&event)) d.takePurge(*purge);
+  if (auto* told = std::get_if<ZoneShares>(&event)) d.takeShares(told->shares);
   if (auto* begun = std::get_if<LegStarted>(&event))
     if (Pull* p = d.known(begun->pull); p && !p->ended) {
       p->streaming = true;  // the client owns that leg now: nothing binds it but its end
--- a/src/logic.hpp
+++ b/src/logic.hpp
@@ -135,8 +135,13 @@
   std::uint32_t peer = 0;
   std::string text;
 };
-using Event =
-    std::variant<ListNews, PullCame, LegStarted, LegEnded, ClientLeft, WakeUp, ProbeEnded, Purged, PeerSaid>;
+// The fleet's verdict as it stands: which share of this front's pulls goes to which zone's caches, by zone; all to
+// the own where it is empty, as at start. Comes only where a front has a fleet (src/failover/).
+struct ZoneShares {
+  std::vector<double> shares;
+};
+using Event = std::variant<ListNews, PullCame, LegStarted, LegEnded, ClientLeft, WakeUp, ProbeEnded, Purged,
+                           PeerSaid, ZoneShares>;
 
 // ---- what is to be done
 struct SendLeg {
@@ -169,8 +174,13 @@
 struct WriteLine {
   std::string text;
 };
-using Action =
-    std::variant<SendLeg, CancelLeg, DeclinePull, AbandonPull, WakeMe, ProbeCache, FollowList, WriteLine>;
+// A machine was set aside or is back: what this front holds of it, for whoever sums it up for the fleet.
+struct TellHealth {
+  std::uint32_t cache = 0;
+  bool aside = false;
+};
+using Action = std::variant<SendLeg, CancelLeg, DeclinePull, AbandonPull, WakeMe, ProbeCache, FollowList, WriteLine,
+                            TellHealth>;
 
 class Router {
  public:
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -766,6 +766,73 @@
   assert(held > 80 && crowded < held / 4);
 }
 
+// By the fleet's verdict a share of the objects goes to another zone's caches: none without it, all with the whole
+// share, the same ones each time; a ticket known to one zone stays; what is set aside or back is told.
+static void sharesFollowTheVerdict() {
+  StoreSheet s = sheet();
+  s.lateral = true;
+  s.offerings.push_back(s.offerings[0]);
+  s.offerings[2].effect = Effect::ticketed, s.offerings[2].span = Span::zone, s.offerings[2].memory = 5000;
+  ListNews news = list();
+  int own = s.zone, other = own + 1;
+  for (std::uint32_t id : {41u, 42u}) {
+    news.entries.push_back(entry(id, storeKind, other));
+    news.entries.back().weight = news.entries.front().weight;
+  }
+  Front f(s, 1, news);
+  auto abroad = [&](int offering) {
+    std::vector<std::uint64_t> went;
+    for (std::uint64_t o = 1; o <= 200; ++o) {
+      f.now += 100;
+      SendLeg a = f.pull(o, offering);
+      assert(a.cache != 0);
+      assert((a.source != 41 && a.source != 42) || a.source == a.cache);  // no fill from another zone's cache
+      if (a.cache == 41 || a.cache == 42) went.push_back(o);
+      f.finish(a, Remark::filled);
+    }
+    return went;
+  };
+  auto tellShares = [&](double mine) {
+    std::vector<double> shares(static_cast<std::size_t>(other) + 1);
+    shares[static_cast<std::size_t>(own)] = mine, shares[static_cast<std::size_t>(other)] = 1 - mine;
+    f.tell(ZoneShares{shares});
+    assert(f.did.empty());
+  };
+  assert(abroad(0).empty());
+  tellShares(0.5);
+  auto half = abroad(0);
+  assert(half.size() > 70 && half.size() < 130 && half == abroad(0));
+  tellShares(0.25);
+  auto most = abroad(0);
+  assert(most.size() > half.size() && std::includes(most.begin(), most.end(), half.begin(), half.end()));
+  tellShares(0);
+  assert(abroad(0).size() == 200 && abroad(2).empty());
+  f.tell(ListNews{Listing::changes, {entry(41, storeKind, other, Standing::draining)}});
+  for (std::uint64_t o = 1; o <= 50; ++o) {
+    SendLeg a = f.pull(o);
+    assert(a.cache != 41);
+    f.finish(a, Remark::hit);
+  }
+  for (std::uint32_t id : {41u, 42u}) f.tell(ListNews{Listing::changes, {entry(id, storeKind, other, Standing::gone)}});
+  SendLeg home = f.pull(900);  // nobody abroad any more: the own zone's caches, whatever the verdict
+  assert(home.cache != 0 && home.cache != 41 && home.cache != 42);
+  f.finish(home);
+  f.tell(ZoneShares{});
+  assert(abroad(0).empty());
+  // Two failures in a row set a cache aside, which is told; two answered probes bring it back, and that is told too.
+  SendLeg a = f.pull(901);
+  f.end(a, Ending::broken);
+  for (std::uint64_t o = 902; f.all<TellHealth>().empty() && o < 1000; ++o) {
+    SendLeg b = f.pull(o);
+    if (b.cache == a.cache) f.end(b, Ending::broken);
+    else f.finish(b, Remark::hit);
+  }
+  assert(f.all<TellHealth>().size() == 1 && f.all<TellHealth>()[0].cache == a.cache && f.all<TellHealth>()[0].aside);
+  f.now += 300;
+  for (int i = 0; i < 2; ++i) f.tell(ProbeEnded{a.cache, true, 1, {}});
+  assert(f.all<TellHealth>().size() == 1 && !f.all<TellHealth>()[0].aside);
+}
+
 int main() {
   struct Case {
     const char* name;
@@ -806,7 +873,8 @@
                  {"what fails behind a cache is the source's", whatFailsBehindACacheIsTheSources},
                  {"one slow fill tells of its source", oneSlowFillTellsOfItsSource},
                  {"late sources are asked for what they hold", lateSourcesAreAskedForWhatTheyHold},
-                 {"tickets run at the origin through a cache", ticketsRunAtTheOriginThroughACache}}) {
+                 {"tickets run at the origin through a cache", ticketsRunAtTheOriginThroughACache},
+                 {"shares follow the verdict", sharesFollowTheVerdict}}) {
     std::puts(c.name);
     c.run();
   }
