dunlinctl fleet up, fault, view; relay for caches' streams; checker across processes

The view named "health" twice, which our own reader refuses: renamed. An epoch is taken from the peer that came to the verdict first.

--- a/examples/toy.cpp
+++ b/examples/toy.cpp
@@ -17,6 +17,8 @@
              : fields.substr(at + name.size() + 1, fields.find(',', at) - at - name.size() - 1);
 }
 
+std::string place;  // told in every body, where one is named
+
 struct Peer : Connection::Owner {
   Loop& loop;
   bool board, source;
@@ -52,7 +54,7 @@
     if (!hit && field(fields, "miss").empty())
       return void(connection.send(id + " NONE remark=not_there 0\r\n\r\n"));
     kept.insert(name);
-    std::string bytes = field(fields, "profile") + " " + name + "\n";
+    std::string bytes = field(fields, "profile") + " " + name + (place.empty() ? "" : " at " + place) + "\n";
     connection.send(id + " HIT entity=toy-" + thing +
                     ",issued=" + std::to_string(static_cast<long long>(loop.now())) +
                     ",remark=" + (hit ? "local" : "pulled") + " " + std::to_string(bytes.size()) + "\r\n" +
@@ -71,10 +73,11 @@
   CLI::App app{"toy caches and a notice board, to try a front with"};
   std::string board;
   std::vector<std::string> caches, sources;
-  app.add_option("--board", board, "address of the notice board")->required();
-  app.add_option("--cache", caches, "address of a cache; again for each")->required();
+  app.add_option("--board", board, "address of the notice board");
+  app.add_option("--cache", caches, "address of a cache; again for each");
   app.add_option("--source", sources,
                  "address of a parent or origin, which holds everything; again for each");
+  app.add_option("--place", place, "told in every body: which toy it came from");
   CLI11_PARSE(app, argc, argv);
   std::setvbuf(stdout, nullptr, _IOLBF, 0);
   Loop loop;
@@ -91,7 +94,7 @@
         }));
   };
   try {
-    open(board, true, false);
+    if (!board.empty()) open(board, true, false);
     for (const std::string& one : caches) open(one, false, false);
     for (const std::string& one : sources) open(one, false, true);
   } catch (const std::exception& fault) {
--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -4,6 +4,7 @@
 
 #include "ctl/config.hpp"
 #include "ctl/drill.hpp"
+#include "ctl/fleet.hpp"
 #include "schema/schema.hpp"
 
 int main(int argc, char** argv) {
@@ -14,6 +15,7 @@
   int code = 0;
   dunlinwick::ctl::addDrill(app, code);
   dunlinwick::ctl::addConfig(app, code);
+  dunlinwick::ctl::addFleet(app, code);
   try {
     app.parse(argc, argv);
   } catch (const CLI::ParseError& fault) {
--- a/src/failover/verdict.cpp
+++ b/src/failover/verdict.cpp
@@ -129,7 +129,11 @@
     verdict_.out = 0;
     for (std::size_t z = 0; z < zones; ++z)
       if (health[z] == 0) verdict_.out |= std::uint64_t{1} << z;
-    verdict_.epoch = std::max(verdict_.epoch, highest) + 1;
+    // Who comes to it after another takes the other's number; who comes first takes the next.
+    std::uint32_t taken = 0;
+    for (const auto& [id, o] : heard)
+      if (o.verdict == verdict_.out && o.epoch > verdict_.epoch) taken = std::max(taken, o.epoch);
+    verdict_.epoch = taken > 0 ? taken : std::max(verdict_.epoch, highest) + 1;
     verdict_.shares = sharesFor(health, verdict_.panic);
     return true;
   }
--- a/src/failover/verdict.hpp
+++ b/src/failover/verdict.hpp
@@ -12,8 +12,8 @@
 // - Down goes a zone at once where its fronts are dead, and once it has lasted `lasting` by its caches; up it comes a
 //   quarter each `holdBack` (hysteresis): a zone that flickers does not take traffic back and forth, and caches
 //   that return cold are not asked for all at once.
-// - An epoch numbers verdicts: it rises with each change here, and where a peer tells a higher epoch of the same
-//   zones out, it is taken over, so fronts that agree also agree on the number. Fronts that see the same opinions
+// - An epoch numbers verdicts: it rises with each change here, to the number that a peer tells of the same zones out
+//   where one does, and is taken over later too, so fronts that agree also agree on the number. Fronts that see the same opinions
 //   make the same verdict; those that disagree converge once the opinions have spread (the members' bound).
 // - Shares follow Envoy's priority levels: the own zone first, then the other zones of the region, then the other
 //   regions, each level taking min(1, overprovision * its mean health) of what is left, in a level by health; where
--- a/src/fleet/harness.hpp
+++ b/src/fleet/harness.hpp
@@ -1,55 +1,93 @@
-// Many processes of the front on loopback, each with its own configuration and a fault relay (src/fleet/relay.hpp)
-// on every link between them. The harness starts and ends each process by its id; what it does to them:
-// kill -9, SIGSTOP, SIGCONT, restart under the same address. Tools and tests only: it forks.
+// Many processes of the front on loopback, with toy caches for each zone, a fault relay (src/fleet/relay.hpp) on every
+// link, and clients that ask. It starts and ends each process by its id; what it does to them: kill -9, SIGSTOP, SIGCONT,
+// restart under the same address. Tools and tests only: it starts processes.
 //
-// Front i: members at 127.0.0.(10 + i):port, clients at 127.0.0.(10 + i):(port + 200); its peers through the
-// relay's faces. Bounds: 64 fronts; a view is awaited 300 ms at most.
+// Front i: members at 127.0.0.(10 + i):port, clients at 127.0.0.(10 + i):(port + 200); its peers and caches through the
+// relay's faces at port + 1. Zone z's caches: 127.0.0.(200 + z), port + 300 on. Parent, origin and notice board:
+// 127.0.0.199. Bounds: 64 fronts, 16 zones; a view is awaited 300 ms at most; 200,000 pulls are kept.
 #pragma once
 #include <sys/types.h>
 
+#include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
+#include "fleet/judge.hpp"
 #include "fleet/relay.hpp"
+#include "fleet/script.hpp"
 #include "json/json.hpp"
 #include "loop/loop.hpp"
 
 namespace dunlinwick::fleet {
 
-struct Plan {
-  std::vector<std::string> zones, regions;  // by zone
-  std::vector<int> zoneOf;                  // by front
-  std::string program, folder, front;       // the front's program, a folder for files, a configuration's text
-  std::uint16_t port = 7400;
-  double periodMs = 200, probeTimeoutMs = 60, holdBackMs = 1000;
-  std::uint64_t seed = 1;
+struct Programs {
+  std::string front, toy;  // paths
+  std::string folder;      // for configurations, logs
 };
 
-class Harness {
+class Harness final : public Target {
  public:
-  Harness(loop::Loop& loop, Plan plan);  // starts every front
-  ~Harness();                            // ends every front it started
+  Harness(loop::Loop& loop, FleetFile fleet, Programs programs, std::uint64_t seed);  // starts everything
+  ~Harness();                                                                        // ends everything it started
   std::size_t size() const { return pids_.size(); }
   Relay& relay() { return *relay_; }
-  void kill(std::size_t i);
-  void pause(std::size_t i);
-  void resume(std::size_t i);
-  void restart(std::size_t i);
+  const FleetFile& fleet() const { return fleet_; }
+
+  // Target
+  void kill(std::size_t front) override;
+  void restart(std::size_t front) override;
+  void stop(std::size_t front) override;
+  void resume(std::size_t front) override;
+  void cut(const std::vector<std::size_t>& group, bool outOnly, bool on) override;
+  void links(const Step& how, bool on) override;
+  void caches(std::size_t zone, bool silent, bool on) override;
+  void heal() override;
+
+  bool up(std::size_t front) const { return pids_[front] > 0 && !stopped_.count(front); }
+  void does(const Cue& cue);                   // plays it now and notes it for the checker
+  void run(const Script& script);              // plays it to its end
   std::optional<json::Value> view(std::size_t i);  // nothing from a front that does not answer
-  void wait(double ms);                            // lets the relay work
+  void wait(double ms);                        // lets the relay and the clients work
+  // Clients ask every front so often, from now on; a tenth of the pulls are exclusive.
+  void ask(double pullsPerS);
+  History history();  // what the checker judges, up to now; reads the logs
+  Ms begun() const { return begun_; }
   std::string configuration(std::size_t i) const;
   static loop::Address at(std::size_t i, std::uint16_t port);
 
  private:
+  struct Client;
   void start(std::size_t i);
+  void startZone(std::size_t z);
+  pid_t spawn(const std::vector<std::string>& words, const std::string& log);
+  loop::Address cacheAt(std::size_t z, int c) const;
+  bool wholeZone(const std::vector<std::size_t>& group, std::size_t zone) const;
+  void nextPull();
 
   loop::Loop& loop_;
-  Plan plan_;
+  FleetFile fleet_;
+  Programs programs_;
+  std::uint64_t seed_;
+  Ms begun_ = 0;
   std::unique_ptr<Relay> relay_;
-  std::vector<pid_t> pids_;
+  std::vector<pid_t> pids_, zonePids_;
+  pid_t hub_ = 0;
+  std::set<std::size_t> stopped_;
   loop::Descriptor asker_;
+  std::vector<CueDone> cues_;
+  std::vector<PullSeen> pulls_;
+  std::map<std::size_t, std::shared_ptr<Client>> clients_;  // by pull; emptied as they end
+  std::uint64_t asking_ = 0;
+  double pullsPerS_ = 0;
+  std::knuth_b random_;
+  std::size_t nextFront_ = 0;
 };
 
+// The address a front's members' socket has, and the view it answers with, asked from outside the harness.
+std::optional<json::Value> askView(loop::Loop& loop, loop::Descriptor& asker, const loop::Address& front,
+                                   std::string* raw = nullptr);
+
 }  // namespace dunlinwick::fleet
--- a/src/fleet/relay.cpp
+++ b/src/fleet/relay.cpp
@@ -3,20 +3,68 @@
 #include <arpa/inet.h>
 #include <poll.h>
 
+#include <algorithm>
+#include <deque>
 #include <stdexcept>
 #include <string>
 
 namespace dunlinwick::fleet {
 
-constexpr std::size_t mostFronts = 64, mostHeld = 10000;
+constexpr std::size_t mostFronts = 64, mostCaches = 64, mostHeld = 10000;
 
 struct Relay::Face final : loop::Handler {
   Relay* relay = nullptr;
   std::size_t from = 0, to = 0;
   loop::Descriptor fd;
+  loop::Ms busyUntil = 0;  // of its bandwidth
   void ready(short) override { relay->pass(*this); }
 };
 
+// One direction of a stream: what came is sent on in order, each piece when its delay and the bandwidth allow.
+struct Relay::Way final : loop::Connection::Owner {
+  Stream& stream;
+  Fault& fault;
+  std::unique_ptr<loop::Connection> from;
+  Way* other = nullptr;
+  std::deque<std::pair<loop::Ms, std::string>> held;  // when due
+  loop::Ms last = 0;
+  bool over = false;
+  Way(Stream& s, Fault& f) : stream(s), fault(f) {}
+  void came() override { take(); }
+  void ended(loop::Parting) override {
+    take();
+    over = true;
+    from->close();
+  }
+  void take();
+};
+struct Relay::Stream {
+  Relay& relay;
+  Way toCache, fromCache;
+  Stream(Relay& r, Fault& to, Fault& back) : relay(r), toCache(*this, to), fromCache(*this, back) {
+    toCache.other = &fromCache, fromCache.other = &toCache;
+  }
+};
+
+void Relay::Way::take() {
+  constexpr std::size_t mostPieces = 256;
+  Relay& r = stream.relay;
+  if (fault.cut() || held.size() >= mostPieces || from->in.size() == 0) return;  // read no further: it waits
+  std::uniform_real_distribution<double> unit(0, 1);
+  std::string bytes(from->in.bytes());
+  from->in.consume(bytes.size());
+  constexpr loop::Ms resent = 200;
+  loop::Ms due = r.loop_.now() + fault.delay + fault.jitter * unit(r.random_) + (unit(r.random_) < fault.loss ? resent : 0);
+  due = std::max(due, last);
+  if (fault.kbPerS > 0) due += static_cast<double>(bytes.size()) / fault.kbPerS;
+  last = due;
+  if (due <= r.loop_.now() && held.empty()) {
+    if (other->from && !other->over) other->from->send(std::move(bytes));
+  } else {
+    held.emplace_back(due, std::move(bytes));
+  }
+}
+
 loop::Address Relay::face(std::size_t from, std::size_t to, std::uint16_t port) {
   loop::Address a{};
   a.sin_family = AF_INET;
@@ -25,11 +73,13 @@
   return a;
 }
 
-Relay::Relay(loop::Loop& loop, std::vector<loop::Address> fronts, std::uint16_t port, std::uint64_t seed)
-    : loop_(loop), fronts_(std::move(fronts)), random_(static_cast<unsigned>(seed)) {
+Relay::Relay(loop::Loop& loop, std::vector<loop::Address> fronts, std::vector<loop::Address> caches, std::uint16_t port,
+             std::uint64_t seed)
+    : loop_(loop), fronts_(std::move(fronts)), caches_(std::move(caches)), random_(static_cast<unsigned>(seed)) {
   std::size_t n = fronts_.size();
-  if (n > mostFronts) throw std::runtime_error("the relay takes 64 fronts at most");
+  if (n > mostFronts || caches_.size() > mostCaches) throw std::runtime_error("the relay takes 64 fronts and 64 caches at most");
   faults_.assign(n * n, Fault{});
+  cacheFaults_.assign(2 * n * caches_.size(), Fault{});
   for (std::size_t i = 0; i < n; ++i)
     for (std::size_t j = 0; j < n; ++j) {
       if (i == j) continue;
@@ -42,24 +92,64 @@
       loop_.watch(fd, *f, POLLIN);
       faces_.push_back(std::move(f));
     }
+  for (std::size_t i = 0; i < n; ++i)
+    for (std::size_t c = 0; c < caches_.size(); ++c)
+      listeners_.push_back(std::make_unique<loop::Listener>(loop_, face(i, c, port), [this, i, c](loop::Descriptor fd) {
+        constexpr loop::Ms within = 2000;
+        auto s = std::make_shared<Stream>(*this, toCache(i, c), fromCache(i, c));
+        s->toCache.from = std::make_unique<loop::Connection>(loop_, s->toCache, std::move(fd));
+        s->fromCache.from = std::make_unique<loop::Connection>(loop_, s->fromCache, caches_[c], within);
+        streams_.push_back(std::move(s));
+      }));
+  if (!caches_.empty()) sweep();
 }
 
 Relay::~Relay() {
+  loop_.cancel(sweep_);
   for (auto& f : faces_) loop_.forget(f->fd.get());
 }
 
-void Relay::cutAround(const std::vector<std::size_t>& group, bool oneWayOut) {
+// Held bytes that are due go on, what waited behind a cut is taken up, and a stream with one end over ends.
+void Relay::sweep() {
+  constexpr loop::Ms every = 2;
+  for (auto& s : streams_)
+    for (Way* w : {&s->toCache, &s->fromCache}) {
+      while (!w->held.empty() && w->held.front().first <= loop_.now() && !w->fault.cut()) {
+        if (!w->other->over) w->other->from->send(std::move(w->held.front().second));
+        w->held.pop_front();
+      }
+      if (!w->over) w->take();
+    }
+  for (auto& s : streams_)
+    for (Way* w : {&s->toCache, &s->fromCache})
+      if (w->over && !w->other->over && w->held.empty() && !w->fault.cut() && w->other->from->drainedOut()) {
+        w->other->from->close();
+        w->other->over = true;
+      }
+  std::erase_if(streams_, [&](auto& s) {
+    if (!s->toCache.over || !s->fromCache.over) return false;
+    loop_.bury(s);
+    return true;
+  });
+  sweep_ = loop_.at(loop_.now() + every, [this] { sweep(); });
+}
+
+void Relay::cutAround(const std::vector<std::size_t>& group, bool oneWayOut, int by) {
   std::vector<bool> in(fronts_.size(), false);
   for (std::size_t i : group) in.at(i) = true;
   for (std::size_t a = 0; a < fronts_.size(); ++a)
     for (std::size_t b = 0; b < fronts_.size(); ++b)
-      if ((in[a] && !in[b]) || (!oneWayOut && !in[a] && in[b])) link(a, b).cut = true;
+      if ((in[a] && !in[b]) || (!oneWayOut && !in[a] && in[b])) link(a, b).cuts += by;
 }
 void Relay::healAll() {
   for (Fault& f : faults_) f = Fault{};
+  for (Fault& f : cacheFaults_) f = Fault{};
 }
 void Relay::everywhere(const Fault& f) {
-  for (Fault& one : faults_) one = f;
+  for (Fault& one : faults_) {
+    int cuts = one.cuts;
+    one = f, one.cuts = cuts;
+  }
 }
 
 void Relay::pass(Face& face) {
@@ -71,14 +161,22 @@
     ssize_t got = loop_.ground().receiveFrom(face.fd.get(), buffer, from);
     if (got < 0) return;
     const Fault& f = link(face.from, face.to);
-    if (f.cut || unit(random_) < f.loss) {
+    loop::Ms now = loop_.now(), waits = 0;
+    constexpr loop::Ms longestQueue = 1000;
+    if (f.kbPerS > 0) {
+      face.busyUntil = std::max(face.busyUntil, now) + static_cast<double>(got) / f.kbPerS;
+      waits = face.busyUntil - now;
+      if (waits > longestQueue) face.busyUntil -= static_cast<double>(got) / f.kbPerS;
+    }
+    if (f.cut() || waits > longestQueue || unit(random_) < f.loss) {
       ++dropped_;
       continue;
     }
     int copies = 1 + (unit(random_) < f.duplicate);
     std::string bytes(buffer, static_cast<std::size_t>(got));
     for (int c = 0; c < copies; ++c) {
-      double after = f.delay + f.jitter * unit(random_);
+      constexpr loop::Ms late = 20;  // a reordered one comes after what was sent within so long
+      double after = waits + f.delay + f.jitter * unit(random_) + (unit(random_) < f.reorder ? late : 0);
       ++passed_;
       if (after <= 0) {
         loop_.ground().sendTo(face.fd.get(), bytes, fronts_[face.to]);
--- /dev/null
+++ b/src/fleet/script.hpp
@@ -0,0 +1,75 @@
+// A fleet and what goes wrong in it, on cue: the files that `dunlinctl fleet` reads. One script of faults drives real
+// processes with the relay (src/fleet/harness.hpp) and the staged members (src/fleet/sim.hpp) alike.
+//
+// JSON with comments; refused whole with file, line, field and reason. Times in the files are seconds.
+#pragma once
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "failover/verdict.hpp"
+#include "members/swim.hpp"
+
+namespace dunlinwick::fleet {
+
+using Ms = double;
+
+struct FleetFile {
+  std::vector<std::string> zones, regions;  // by zone
+  int fronts = 0;                           // spread over the zones in turn, unless `zoneOf` names each
+  std::vector<int> zoneOf;
+  int cachesPerZone = 2;
+  std::uint16_t port = 7400;
+  members::Terms swim;
+  failover::Terms verdict;
+  bool steer = true;
+  double pullsPerS = 20;  // asked of each front
+};
+// `fronts`: in place of the file's number, 0 for that. Throws schema::Refused.
+FleetFile readFleetFile(const std::string& path, int fronts = 0);
+FleetFile readFleetText(const std::string& named, const std::string& text, int fronts = 0);
+
+enum class Deed { kill, restart, stop, resume, cut, cutOut, links, cachesDown, cachesSilent, heal };
+const char* word(Deed deed);
+
+struct Step {
+  Ms at = 0, lasts = 0;  // 0: until a later step undoes it
+  Deed deed = Deed::kill;
+  std::vector<std::size_t> fronts;
+  std::string zone;
+  double delay = 0, jitter = 0, loss = 0, duplicate = 0, reorder = 0, kbPerS = 0;
+};
+struct Script {
+  std::string name, about;
+  Ms length = 0;
+  std::vector<Step> steps;  // by time
+};
+Script readFaults(const std::string& path);
+Script readFaultsText(const std::string& named, const std::string& text);
+// What can't go with this fleet (a front or zone that it does not have); empty where all goes.
+std::string unfit(const Script& script, const FleetFile& fleet);
+
+// Whatever a script is played on. `on`: begins, else ends (cuts, links, silent and lost caches, stops).
+class Target {
+ public:
+  virtual ~Target() = default;
+  virtual void kill(std::size_t front) = 0;
+  virtual void restart(std::size_t front) = 0;
+  virtual void stop(std::size_t front) = 0;
+  virtual void resume(std::size_t front) = 0;
+  virtual void cut(const std::vector<std::size_t>& group, bool outOnly, bool on) = 0;
+  virtual void links(const Step& how, bool on) = 0;
+  virtual void caches(std::size_t zone, bool silent, bool on) = 0;
+  virtual void heal() = 0;
+};
+// One deed as a script's times yield it: what to do at `at`.
+struct Cue {
+  Ms at = 0;
+  Step step;
+  bool on = true;
+};
+std::vector<Cue> cues(const Script& script);  // by time; an `on` of a step before its own end
+void play(const Cue& cue, Target& target, const FleetFile& fleet);
+std::string text(const Cue& cue);  // "stop 0", "cut 1,2 ends": for logs and the checker
+
+}  // namespace dunlinwick::fleet
--- a/src/fleet/sim.cpp
+++ b/src/fleet/sim.cpp
@@ -53,16 +53,15 @@
   start(id);
 }
 
-void Sim::cutAround(const std::vector<Id>& group, bool oneWayOut) {
+void Sim::cutAround(const std::vector<Id>& group, bool oneWayOut, int by) {
   std::vector<bool> in(nodes_.size(), false);
   for (Id id : group) in[id] = true;
   for (Id a = 0; a < nodes_.size(); ++a)
     for (Id b = 0; b < nodes_.size(); ++b)
-      if (in[a] && !in[b]) link(a, b).cut = true;
-      else if (!in[a] && in[b] && !oneWayOut) link(a, b).cut = true;
+      if ((in[a] && !in[b]) || (!oneWayOut && !in[a] && in[b])) link(a, b).cuts += by;
 }
 void Sim::healAll() {
-  for (Link& l : links_) l.cut = false;
+  for (Link& l : links_) l.cuts = 0;
 }
 void Sim::everywhere(const std::function<void(Link&)>& change) {
   for (Link& l : links_) change(l);
@@ -72,11 +71,21 @@
   std::uniform_real_distribution<double> unit(0, 1);
   for (const members::Message& m : out) {
     ++messages_, bytes_ += wireSize(m);
-    const Link& l = link(m.from, m.to);
-    if (l.cut || unit(random_) < l.loss) continue;
+    Link& l = link(m.from, m.to);
+    constexpr Ms longestQueue = 1000, late = 20;  // as the relay's
+    Ms waits = 0;
+    if (l.kbPerS > 0) {
+      Ms sending = static_cast<double>(wireSize(m)) / l.kbPerS;
+      waits = std::max(l.busyUntil - now_, 0.0) + sending;
+      if (waits > longestQueue) continue;
+      l.busyUntil = now_ + waits;
+    }
+    if (l.cuts > 0 || unit(random_) < l.loss) continue;
     int copies = 1 + (unit(random_) < l.duplicate);
-    for (int c = 0; c < copies && flights_.size() < mostInFlight; ++c)
-      flights_.push(Flight{now_ + l.delay + l.jitter * unit(random_), order_++, m});
+    for (int c = 0; c < copies && flights_.size() < mostInFlight; ++c) {
+      Ms after = waits + l.delay + l.jitter * unit(random_) + (unit(random_) < l.reorder ? late : 0);
+      flights_.push(Flight{now_ + after, order_++, m});
+    }
   }
 }
 
--- a/src/fleet/sim.hpp
+++ b/src/fleet/sim.hpp
@@ -25,9 +25,11 @@
 using members::Id;
 
 struct Link {
-  bool cut = false;
+  int cuts = 0;                  // partitions that it lies across; they may overlap
   Ms delay = 0.2, jitter = 0.1;  // one way, ms: loopback-like unless told otherwise
-  double loss = 0, duplicate = 0;
+  double loss = 0, duplicate = 0, reorder = 0;
+  double kbPerS = 0;  // 0: no limit
+  Ms busyUntil = 0;
 };
 
 struct SimTerms {
@@ -59,7 +61,8 @@
 
   void runUntil(Ms until);
   Link& link(Id from, Id to) { return links_[from * nodes_.size() + to]; }
-  void cutAround(const std::vector<Id>& group, bool oneWayOut = false);  // from (and to) the rest
+  // From (and to) the rest, once more; by -1 once less.
+  void cutAround(const std::vector<Id>& group, bool oneWayOut = false, int by = 1);
   void healAll();
   void everywhere(const std::function<void(Link&)>& change);
   void kill(Id id);
--- /dev/null
+++ b/src/fleet/staged.hpp
@@ -0,0 +1,12 @@
+// A script of faults on the staged members (src/fleet/sim.hpp) in place of processes: the same script, the same checker,
+// virtual time, one seed. There are no caches and no pulls there: lost caches are what the zone's fronts hold of them.
+#pragma once
+#include "fleet/judge.hpp"
+#include "fleet/sim.hpp"
+
+namespace dunlinwick::fleet {
+
+SimTerms simTerms(const FleetFile& fleet, std::uint64_t seed);
+History playStaged(const FleetFile& fleet, const Script& script, std::uint64_t seed);
+
+}  // namespace dunlinwick::fleet
--- a/src/front/fleet.cpp
+++ b/src/front/fleet.cpp
@@ -128,8 +128,8 @@
       std::snprintf(share, sizeof share, "%s%s=%.2f", z ? "," : "", terms_.zones[z].c_str(), v.shares[z]);
       shares += share;
     }
-    log::say("fleet verdict epoch %u out %s shares %s%s", v.epoch, out.empty() ? "none" : out.c_str(),
-             shares.c_str(), v.panic ? " panic" : "");
+    log::say("fleet verdict epoch %u out %s shares %s%s at %.0f", v.epoch, out.empty() ? "none" : out.c_str(),
+             shares.c_str(), v.panic ? " panic" : "", loop_.now());
     if (terms_.steer) {
       std::vector<double> byPlatform(terms_.platformZones, 0);
       for (std::size_t z = 0; z < terms_.zones.size(); ++z) byPlatform[terms_.platformZone[z]] += v.shares[z];
@@ -146,7 +146,8 @@
     std::snprintf(text, sizeof text, "%.2f", x);
     return std::string(text);
   };
-  std::string s = "{\"self\":" + std::to_string(terms_.self) + ",\"incarnation\":" +
+  std::string s = "{\"self\":" + std::to_string(terms_.self) + ",\"zone\":\"" +
+                  terms_.zones[static_cast<std::size_t>(places(terms_).at(terms_.self).zone)] + "\",\"incarnation\":" +
                   std::to_string(swim_.incarnation()) + ",\"health\":" + std::to_string(swim_.health()) +
                   ",\"epoch\":" + std::to_string(v.epoch) + ",\"panic\":" + (v.panic ? "true" : "false") +
                   ",\"steers\":" + (terms_.steer ? "true" : "false") + ",\"caches\":" + quarter(health_.share()) +
@@ -155,7 +156,7 @@
   bool first = true;
   for (std::size_t z = 0; z < terms_.zones.size(); ++z)
     if (v.out >> z & 1) s += (first ? "\"" : ",\"") + terms_.zones[z] + "\"", first = false;
-  s += "],\"health\":{";
+  s += "],\"zone_health\":{";
   for (std::size_t z = 0; z < terms_.zones.size(); ++z)
     s += (z ? ",\"" : "\"") + terms_.zones[z] + "\":" + quarter(v.health[z] / static_cast<double>(failover::steps));
   s += "},\"shares\":{";
--- a/src/front/fleet.hpp
+++ b/src/front/fleet.hpp
@@ -3,7 +3,7 @@
 //
 // It logs each change it sees, one line each, for operators and for the checker across processes:
 //   fleet member 3 dead incarnation 1764629600
-//   fleet verdict epoch 2 out b shares a=1.00,b=0.00,c=0.00
+//   fleet verdict epoch 2 out b shares a=1.00,b=0.00,c=0.00 at 1764629612345
 // Where its terms say `steer`, each new verdict's shares go to the module, by the platform's zones.
 // It answers a view request ("DW?") from anywhere on loopback with its view as one JSON object.
 // Bounds: one datagram in, at most a few out, a turn; 64 datagrams are read a turn at most.
