Drills of fronts cut off from their fleet, with the rule that they keep their zone

Need: the emulator knew no fleet. Drills may give their fronts one (in_common) and keep groups of them apart; the checker has a seventh rule, that a front short of a quorum sends nothing to another zone's caches, and two more broken fronts that it catches by it. A zone five of whose fronts are suspect at once counts as gone, so that a large one is left together.

--- a/src/drill/report.cpp
+++ b/src/drill/report.cpp
@@ -67,7 +67,7 @@
   out += print("    cold machines: %.2f of what one bears in a window\n", n.coldShare);
   out += print("    purges: a leg %.0f ms after the word, answered from an older copy (500)\n", n.purgeAfter);
   out += print("    refusals: held for %.0f ms\n", n.held);
-  for (int i = 0; i < 6; ++i)
+  for (int i = 0; i < rules::howMany; ++i)
     if (o.counts[i] > 0)
       out += print("\n  BROKEN: %s, %llu times\n", rules::word(static_cast<rules::Rule>(i)),
                    static_cast<unsigned long long>(o.counts[i]));
--- a/src/drill/run.cpp
+++ b/src/drill/run.cpp
@@ -17,6 +17,7 @@
 
 constexpr Ms second = 1000;
 // Hosts by what stands there.
+constexpr std::uint16_t membersPort = 7400;
 constexpr std::uint32_t frontNet = 0x000000, storeNet = 0x010000, hubNet = 0x020000, boardHost = 0x030001,
                         clientNet = 0x040000;
 
@@ -127,7 +128,7 @@
     o.tookS = std::chrono::duration<double>(std::chrono::steady_clock::now() - began).count();
     o.breaches = checker_.breaches();
     for (rules::Breach& b : o.breaches) b.at -= clientsFrom_;
-    for (int i = 0; i < 6; ++i) o.counts[i] = checker_.count(static_cast<rules::Rule>(i));
+    for (int i = 0; i < rules::howMany; ++i) o.counts[i] = checker_.count(static_cast<rules::Rule>(i));
     o.nearest = checker_.nearest();
     o.bytes = model_.bytes;
     o.askedKb = o.bytes.asked * site_.terms.flowKbPerMs;
@@ -298,7 +299,14 @@
     see(std::move(up));
     h.stopping = false;
     std::uint64_t seed = options_.seed * 7919 + h.host * 31 + static_cast<std::uint64_t>(h.starts);
-    std::string text = configuration(script_, site_, h.front, stage::text(h.at), stage::text(h.boardAt), seed, known(h));
+    std::string fleet;
+    if (script_.inCommon) {
+      std::vector<std::string> members;
+      for (auto& one : hosts_) members.push_back(stage::text(scene_.address(one->host, membersPort)));
+      fleet = fleetBlock(site_, h.front, members);
+    }
+    std::string text =
+        configuration(script_, site_, h.front, stage::text(h.at), stage::text(h.boardAt), seed, known(h), fleet);
     h.served = scene_.serve(h.host, h.front.name, text, script_.descriptors,
                             options_.breaker ? options_.breaker() : nullptr);
     if (h.starts++ > 0) occur(Moment::frontBack);
@@ -499,6 +507,8 @@
         }
         return;
       }
+      case What::apart:
+        return part(t);
       case What::cut:
       case What::lag:
       case What::oneWay:
@@ -584,6 +594,34 @@
     }
   }
 
+  // A group of fronts and the others of the fleet don't hear each other. Shorter of a quorum than the fleet, those of
+  // the group may send nothing to other zones' caches.
+  void part(const Trouble& t) {
+    std::vector<Host*> group = hostsFor(t);
+    auto inside = [&](const Host* h) { return std::count(group.begin(), group.end(), h) > 0; };
+    std::vector<std::pair<std::uint32_t, std::uint32_t>> pairs;
+    for (Host* h : group) {
+      note(t, h->front.name);
+      for (auto& other : hosts_)
+        if (!inside(other.get()))
+          for (auto [a, b] : {std::pair{h->host, other->host}, std::pair{other->host, h->host}})
+            pairs.emplace_back(addressed(a), addressed(b));
+    }
+    auto apart = [this, pairs](bool on) {
+      for (auto [a, b] : pairs) net_->setApart(a, b, on);
+    };
+    apart(true);
+    until(t.lasts, [apart] { apart(false); });
+    if (2 * group.size() > hosts_.size()) return;
+    for (Host* h : group)
+      for (bool on : {true, false})
+        until(on ? 0 : t.lasts, [this, h, on] {
+          Fact f;
+          f.deed = Deed::parted, f.at = scene_.now(), f.who = h->front.name, f.group = h->front.store + 1, f.flag = on;
+          see(std::move(f));
+        });
+  }
+
   void network(const Trouble& t) {
     std::vector<std::uint32_t> hosts;
     bool fronts = false;
--- a/src/drill/run.hpp
+++ b/src/drill/run.hpp
@@ -39,7 +39,7 @@
   Ms played = 0;
   double tookS = 0;  // real time; in no digest
   std::vector<rules::Breach> breaches;
-  std::uint64_t counts[6] = {};
+  std::uint64_t counts[rules::howMany] = {};
   rules::Nearest nearest;
   Takings takings;
   std::vector<std::string> offerings;
--- a/src/drill/scene.cpp
+++ b/src/drill/scene.cpp
@@ -178,7 +178,7 @@
 
 std::string notOnSockets(const Script& script) {
   for (const Trouble& t : script.troubles)
-    for (What what : {What::vanish, What::cut, What::oneWay, What::lag, What::loss})
+    for (What what : {What::vanish, What::cut, What::oneWay, What::lag, What::loss, What::apart})
       if (t.what == what) return word(what);
   return "";
 }
--- a/src/drill/script.cpp
+++ b/src/drill/script.cpp
@@ -12,11 +12,11 @@
 namespace dunlinwick::drill {
 namespace {
 
-constexpr std::array<const char*, 26> whats{
+constexpr std::array<const char*, 27> whats{
     "stall",      "slow",     "ageing",      "kill",       "restart",    "vanish",     "drain",
     "take",       "deploy",   "purge",       "purge_groups", "cut",      "one_way",    "lag",
     "loss",       "late_reports", "odd_sizes", "scan",     "crowd",      "front_kill", "front_stop",
-    "board_break", "board_stop", "swallowed", "broken_off", "noise"};
+    "board_break", "board_stop", "swallowed", "broken_off", "noise", "apart"};
 constexpr std::array<const char*, 7> moments{"",           "a drain is told",   "a purge is told",
                                              "a cache starts cold", "a handover is asked", "the office stops",
                                              "a front comes back"};
@@ -32,6 +32,7 @@
       "caches": {"type": "integer", "minimum": 1, "maximum": 400},
       "fronts": {"type": "integer", "minimum": 1, "maximum": 100},
       "area_caches": {"type": "integer", "minimum": 0, "maximum": 60},
+      "in_common": {"type": "boolean"},
       "descriptors": {"type": "integer", "minimum": 64, "maximum": 65536},
       "memory_mb": {"type": "number", "minimum": 32, "maximum": 65536}}},
     "load": {"type": "object", "additionalProperties": false, "properties": {
@@ -112,7 +113,7 @@
   const rapidjson::Value *fleet = member(root, "fleet"), *load = member(root, "load"),
                          *clients = member(root, "clients"), *network = member(root, "network");
   take(fleet, "stores", s.stores), take(fleet, "caches", s.caches), take(fleet, "fronts", s.fronts);
-  take(fleet, "area_caches", s.areas), take(fleet, "descriptors", s.descriptors);
+  take(fleet, "area_caches", s.areas), take(fleet, "in_common", s.inCommon), take(fleet, "descriptors", s.descriptors);
   take(fleet, "memory_mb", s.memoryMb);
   take(load, "pulls_per_s", s.pullsPerS), take(load, "of_capacity", s.load), take(load, "swing", s.swing);
   take(load, "bytes_per_kb", s.bytesPerKb);
@@ -134,7 +135,7 @@
       if (timed == waits) sheet.refuse(at, "needs either at_s or when");
       if (!waits && member(one, "after_ms")) sheet.refuse(at + "/after_ms", "goes with when, not with at_s");
       take(&one, "at_s", t.at, second), take(&one, "after_ms", t.at);
-      if (t.what == What::frontKill || t.what == What::frontStop) t.whom = "front";
+      if (t.what == What::frontKill || t.what == What::frontStop || t.what == What::apart) t.whom = "front";
       if (t.what == What::boardBreak || t.what == What::boardStop) t.whom = "board";
       take(&one, "whom", t.whom), take(&one, "count", t.count), take(&one, "for_s", t.lasts, second);
       take(&one, "factor", t.factor), take(&one, "share", t.share), take(&one, "late_ms", t.late);
@@ -146,7 +147,8 @@
                                        (near.empty() ? "" : "; did you mean \"" + near + "\"?"));
       }
       if (t.whom.starts_with("area") && s.areas == 0) sheet.refuse(at + "/whom", "the fleet has no area caches");
-      bool wantsFront = t.what == What::frontKill || t.what == What::frontStop;
+      bool wantsFront = t.what == What::frontKill || t.what == What::frontStop || t.what == What::apart;
+      if (t.what == What::apart && !s.inCommon) sheet.refuse(at, "\"apart\" needs fronts that are in_common");
       bool isFront = t.whom.starts_with("front"), isBoard = t.whom == "board";
       bool network = t.what == What::cut || t.what == What::oneWay || t.what == What::lag;
       if (wantsFront != isFront && !network)
@@ -178,6 +180,7 @@
   number("length_s", s.length / second);
   w.Key("fleet"), w.StartObject();
   number("stores", s.stores), number("caches", s.caches), number("fronts", s.fronts), number("area_caches", s.areas);
+  if (s.inCommon) w.Key("in_common"), w.Bool(true);
   number("descriptors", static_cast<double>(s.descriptors)), number("memory_mb", s.memoryMb);
   w.EndObject();
   w.Key("load"), w.StartObject();
--- a/src/drill/script.hpp
+++ b/src/drill/script.hpp
@@ -37,7 +37,8 @@
   boardStop,    // it stays open and says nothing for `for`
   swallowed,    // a share of the answers never comes
   brokenOff,    // a share of the answers breaks off
-  noise         // a share of the answers can't be read
+  noise,        // a share of the answers can't be read
+  apart         // fronts and the others of the fleet don't hear each other for `for`; they still reach all caches
 };
 
 // What a trouble may wait for in place of a time.
@@ -58,6 +59,7 @@
   std::string name, about;
   Ms length = 60000;
   int stores = 3, caches = 14, fronts = 4, areas = 2;
+  bool inCommon = false;  // the fronts have a fleet: membership, a verdict in common, pulls steered by it
   double pullsPerS = 240;
   double load = 0;  // of the caches' capacity that pulls take on average; 0: as the ranges say
   double bytesPerKb = 0.1;
--- a/src/drill/site.cpp
+++ b/src/drill/site.cpp
@@ -143,7 +143,8 @@
 }
 
 std::string configuration(const Script& script, const Site& site, const SiteFront& front, const std::string& listen,
-                          const std::string& board, std::uint64_t seed, const std::string& known) {
+                          const std::string& board, std::uint64_t seed, const std::string& known,
+                          const std::string& fleet) {
   const world::Terms& t = site.terms;
   char seedText[20];
   std::snprintf(seedText, sizeof seedText, "%016llx", static_cast<unsigned long long>(seed));
@@ -178,7 +179,23 @@
          num(t.coldStoreMultiple) + ",\"fall\":" + num(t.coldWindow) +
          "},\"limits\":{\"maxAttempts\":8,\"cancel\":true,\"mayDuplicate\":true,\"probing\":true,\"retryAfter\":true," +
          "\"maxRetryAfter\":500,\"connectTimeout\":400,\"connIdle\":30000,\"streamsPerConn\":100}," +
-         "\"report\":{\"names\":[\"util\",\"inflight\",\"x0\",\"x1\"],\"via\":\"probe\"}}}";
+         "\"report\":{\"names\":[\"util\",\"inflight\",\"x0\",\"x1\"],\"via\":\"probe\"}}" +
+         (fleet.empty() ? "" : ",\"fleet\":" + fleet) + "}";
+}
+
+// All stores are of one region: the next is as near as any.
+std::string fleetBlock(const Site& site, const SiteFront& front, const std::vector<std::string>& members) {
+  std::string zones, all, self = "0";
+  for (std::size_t k = 0; k < site.crews.size(); ++k)
+    zones += std::string(k ? "," : "") + "{\"name\":\"store-" + std::to_string(k) + "\",\"region\":\"one\"}";
+  for (std::size_t i = 0; i < site.fronts.size(); ++i) {
+    const SiteFront& f = site.fronts[i];
+    if (f.name == front.name) self = std::to_string(i);
+    all += std::string(i ? "," : "") + "{\"id\":" + std::to_string(i) + ",\"at\":\"" + members[i] + "\",\"zone\":\"store-" +
+           std::to_string(f.store) + "\"}";
+  }
+  return "{\"self\":" + self + ",\"listen\":\"" + members.at(static_cast<std::size_t>(std::stoi(self))) + "\",\"zones\":[" + zones +
+         "],\"members\":[" + all + "],\"period_ms\":200,\"probe_timeout_ms\":60,\"hold_back_ms\":1000,\"steer\":true}";
 }
 
 }  // namespace dunlinwick::drill
--- a/src/drill/site.hpp
+++ b/src/drill/site.hpp
@@ -31,9 +31,12 @@
 // One machine as the notice board lists it.
 std::string listing(const world::Make& make, const std::string& at, const char* state);
 
-// The JSON that a front reads at its start. `known`: what the board tells at that time.
+// The fleet block of a front's configuration; `members`: where each front of the site is heard, in its order.
+std::string fleetBlock(const Site& site, const SiteFront& front, const std::vector<std::string>& members);
+
+// The JSON that a front reads at its start. `known`: what the board tells at that time; `fleet`: "" or its block.
 std::string configuration(const Script& script, const Site& site, const SiteFront& front,
                           const std::string& listen, const std::string& board, std::uint64_t seed,
-                          const std::string& known);
+                          const std::string& known, const std::string& fleet);
 
 }  // namespace dunlinwick::drill
--- a/src/failover/verdict.cpp
+++ b/src/failover/verdict.cpp
@@ -42,14 +42,29 @@
   return text.empty() ? "none" : text;
 }
 
-std::uint64_t Verdicts::opinion(const std::vector<Id>& alive) const {
-  std::vector<int> up(zoneRegion_.size());
-  for (Id id : alive)
-    if (auto f = fronts_.find(id); f != fronts_.end()) ++up[static_cast<std::size_t>(f->second.zone)];
-  std::uint64_t out = 0;
-  for (std::size_t z = 0; z < up.size(); ++z)
-    if (configured_[z] > 0 && up[z] < terms_.aliveShare * configured_[z]) out |= std::uint64_t{1} << z;
-  return out;
+Opinion Verdicts::look(Ms now, double health, const std::vector<Peer>& living, bool& changed) {
+  std::vector<int> up(zoneRegion_.size()), suspects(zoneRegion_.size());
+  auto zoneOf = [&](Id id) { return static_cast<std::size_t>(fronts_.at(id).zone); };
+  ++up[zoneOf(self_)];
+  for (const Peer& p : living)
+    if (p.id != self_ && fronts_.count(p.id)) ++up[zoneOf(p.id)], suspects[zoneOf(p.id)] += p.suspect;
+  std::vector<bool> together(zoneRegion_.size());
+  Opinion own;
+  own.health = health;
+  for (std::size_t z = 0; z < up.size(); ++z) {
+    together[z] = suspects[z] >= terms_.together;
+    int there = together[z] ? up[z] - suspects[z] : up[z];
+    if (configured_[z] > 0 && there < terms_.aliveShare * configured_[z]) own.out |= std::uint64_t{1} << z;
+  }
+  std::map<Id, Opinion> heard;
+  for (const Peer& p : living) {
+    if (p.id == self_ || !fronts_.count(p.id) || !p.heard) continue;
+    heard[p.id] = p.said;
+    if (p.suspect && together[zoneOf(p.id)]) heard[p.id].health = unknown;  // said before it went
+  }
+  changed = decide(now, own, heard, living.size() + 1);
+  own.verdict = verdict_.out, own.epoch = verdict_.epoch;
+  return own;
 }
 
 std::vector<double> Verdicts::sharesFor(const std::vector<int>& health, bool& panic) const {
--- a/src/failover/verdict.hpp
+++ b/src/failover/verdict.hpp
@@ -44,6 +44,10 @@
   double overprovision = 1.4;  // Envoy's default
   double panic = 0.5;          // Envoy's default
   double aliveShare = 0.5;     // a front holds a zone out where fewer than this share of its fronts are alive
+  // So many suspects of one zone at once count as gone already: chance does not make so many of one place, and at size
+  // the news of each death by itself takes most of a minute. Guards against a large zone that is left one by one.
+  // Harm: a storm of loss around one large zone, if a quorum sees it so.
+  int together = 5;
 };
 
 // What a front tells the others: its opinion, and the verdict it keeps with its epoch.
@@ -56,6 +60,14 @@
 std::uint64_t pack(const Opinion& o);  // 24 bits of epoch, 8 of health, 16 of opinion, 16 of verdict
 Opinion unpack(std::uint64_t bits);
 
+// A front that this one does not take for dead.
+struct Peer {
+  Id id = 0;
+  bool suspect = false;
+  bool heard = false;  // it has said something
+  Opinion said;
+};
+
 struct Verdict {
   std::uint64_t out = 0;  // zones out: those of no health
   std::vector<int> health;  // by zone, 0 to `steps`
@@ -69,19 +81,16 @@
   // `fronts`: where each configured front stands; `zoneRegion`: the region of each zone.
   Verdicts(Id self, std::map<Id, Place> fronts, std::vector<int> zoneRegion, Terms terms);
 
-  // This front's opinion, from which fronts it takes for alive (self included).
-  std::uint64_t opinion(const std::vector<Id>& alive) const;
-  // `heard`: the latest opinion of each other front that is alive in this front's view; `own`: this one's, of which
-  // out and health are read; `alive`: fronts alive in its view, itself counted. Returns whether the verdict changed.
-  bool decide(Ms now, const Opinion& own, const std::map<Id, Opinion>& heard, std::size_t alive);
+  // Looks at the other fronts that are not dead, forms this front's opinion (`health`: the share of its zone's caches
+  // that it can use, below 0 where it does not know) and decides. `changed`: whether the verdict did. Returns what to
+  // tell the others.
+  Opinion look(Ms now, double health, const std::vector<Peer>& living, bool& changed);
   const Verdict& verdict() const { return verdict_; }
-  Opinion told(std::uint64_t out, double health) const {
-    return Opinion{out, health, verdict_.out, verdict_.epoch};
-  }
   int quorum() const { return quorum_; }
   std::string zonesText(std::uint64_t set) const;  // "1,3" or "none"
 
  private:
+  bool decide(Ms now, const Opinion& own, const std::map<Id, Opinion>& heard, std::size_t alive);
   std::vector<double> sharesFor(const std::vector<int>& health, bool& panic) const;
   int healthOf(std::size_t zone, const std::vector<double>& said) const;
 
--- a/src/fleet/sim.cpp
+++ b/src/fleet/sim.cpp
@@ -1,5 +1,6 @@
 #include "fleet/sim.hpp"
 
+#include "failover/living.hpp"
 #include "fleet/wire.hpp"
 
 #include <algorithm>
@@ -111,17 +112,10 @@
   for (const members::Change& c : changes)
     if (!c.noteOnly) seen_.push_back(Seen{now_, id, c.who, c.state});
   if (changes.empty() && !always) return;
-  std::vector<Id> alive{id};
-  std::map<Id, failover::Opinion> heard;
-  for (const auto& [other, m] : node.swim->members()) {
-    if (m.state == members::State::dead) continue;
-    alive.push_back(other);
-    if (m.noted) heard[other] = failover::unpack(m.note.bits);
-  }
-  std::uint64_t out = node.verdicts->opinion(alive);
-  if (node.verdicts->decide(now_, failover::Opinion{out, node.health, 0, 0}, heard, alive.size()))
-    judged_.push_back(Judged{now_, id, node.verdicts->verdict().out, node.verdicts->verdict().epoch});
-  node.swim->publish(now_, failover::pack(node.verdicts->told(out, node.health)));
+  bool changed = false;
+  failover::Opinion told = node.verdicts->look(now_, node.health, failover::living(*node.swim), changed);
+  if (changed) judged_.push_back(Judged{now_, id, node.verdicts->verdict().out, node.verdicts->verdict().epoch});
+  node.swim->publish(now_, failover::pack(told));
 }
 
 void Sim::runUntil(Ms until) {
--- a/src/front/fleet.cpp
+++ b/src/front/fleet.cpp
@@ -6,6 +6,7 @@
 #include <cstdio>
 #include <stdexcept>
 
+#include "failover/living.hpp"
 #include "fleet/wire.hpp"
 #include "log/log.hpp"
 
@@ -110,16 +111,9 @@
 void Fleet::settle() {
   for (const members::Change& c : swim_.changes())
     if (!c.noteOnly) log::say("fleet member %u %s incarnation %u", c.who, members::word(c.state), c.incarnation);
-  std::vector<members::Id> alive{terms_.self};
-  std::map<failover::Id, failover::Opinion> heard;
-  for (const auto& [id, m] : swim_.members()) {
-    if (m.state == members::State::dead) continue;
-    alive.push_back(id);
-    if (m.noted) heard[id] = failover::unpack(m.note.bits);
-  }
-  std::uint64_t holdsOut = verdicts_.opinion(alive);
-  double health = health_.share();
-  if (verdicts_.decide(loop_.now(), failover::Opinion{holdsOut, health, 0, 0}, heard, alive.size())) {
+  bool changed = false;
+  failover::Opinion told = verdicts_.look(loop_.now(), health_.share(), failover::living(swim_), changed);
+  if (changed) {
     const failover::Verdict& v = verdicts_.verdict();
     std::string out, shares;
     for (std::size_t z = 0; z < terms_.zones.size(); ++z) {
@@ -136,7 +130,7 @@
       steer_(std::move(byPlatform));
     }
   }
-  swim_.publish(loop_.now(), failover::pack(verdicts_.told(holdsOut, health)));
+  swim_.publish(loop_.now(), failover::pack(told));
 }
 
 std::string Fleet::view() const {
--- a/src/rules/rules.cpp
+++ b/src/rules/rules.cpp
@@ -8,9 +8,9 @@
 namespace dunlinwick::rules {
 namespace {
 
-constexpr std::array<const char*, 14> deeds{"asked",  "answered", "left",       "leg_came",  "leg_ended",
+constexpr std::array<const char*, 15> deeds{"asked",  "answered", "left",       "leg_came",  "leg_ended",
                                             "leg_dropped", "ran", "listed",     "purged",    "pushed_over",
-                                            "cold_push",   "front_up", "front_down", "unseen"};
+                                            "cold_push",   "front_up", "front_down", "parted", "unseen"};
 
 std::string whole(Ms ms) { return std::to_string(static_cast<long long>(ms + 0.5)) + " ms"; }
 
@@ -20,7 +20,8 @@
 
 const char* word(Rule rule) {
   static const char* const words[] = {"one final answer, in time", "no effect twice",     "drains kept",
-                                      "cold machines not pushed",  "purges kept", "refusals not held back"};
+                                      "cold machines not pushed",  "purges kept", "refusals not held back",
+                                      "a front alone keeps its zone"};
   return words[static_cast<int>(rule)];
 }
 
@@ -166,6 +167,11 @@
       ++front.life;
       return;
     }
+    case Deed::parted: {
+      Front& front = fronts_[f.who];
+      front.partedIn = f.flag ? f.group : -1, front.partedAt = f.at;
+      return;
+    }
     case Deed::unseen:
       unseenUntil_ = std::max(unseenUntil_, f.number);
       if (f.flag) unheardUntil_ = std::max(unheardUntil_, f.number);
@@ -189,6 +195,14 @@
              (machine == &f.who ? "a leg went to " : "a leg named as its source ") + *machine + " " +
                  whole(f.at - told->second) + " after the front was told that it leaves");
   }
+  // What the fleet had decided before the cut may be on its way still, and is taken back only after the hold.
+  constexpr Ms decidedBefore = 2000;
+  if (front.partedIn >= 0 && f.at > front.partedAt + decidedBefore) {
+    auto place = limits_.places.find(f.who.substr(0, f.who.find('+')));
+    if (place != limits_.places.end() && place->second.first > 0 && place->second.first != front.partedIn)
+      breach(Rule::near, f, p.front, "cut off from its fleet since " + whole(f.at - front.partedAt) + ", it sent a leg to " +
+                                         f.who + " of another zone");
+  }
   bool unclear = std::any_of(p.legs.begin(), p.legs.end(), [](const Leg& l) { return l.fate != Fate::notRun; });
   if (o.effect == Effect::exclusive && unclear)
     breach(Rule::effect, f, p.front,
--- a/src/rules/rules.hpp
+++ b/src/rules/rules.hpp
@@ -1,4 +1,4 @@
-// Judges the five rules, and that no refusal is held back, from what the world saw on the wire: what clients
+// Judges the five rules, that no refusal is held back, and that a front cut off from its fleet keeps its zone, from what the world saw on the wire: what clients
 // asked and were told, what came to machines, what machines said, what the notice board told. Nothing that a
 // front says of itself goes in. Pure: facts in, breaches out; facts come in the order of their times.
 //
@@ -31,6 +31,7 @@
   coldPush,   // number: share of the limit
   frontUp,    // who
   frontDown,  // who: killed; what it held is owed no more
+  parted,     // who: the front, group: its zone, flag: from now on, else no more: it is cut off from a quorum of its fleet
   unseen      // number: until when legs may be on their way to where nobody sees them; flag: answers too,
               // by a network that loses or holds up what fronts say
 };
@@ -48,7 +49,8 @@
 std::string line(const Fact& fact);
 std::optional<Fact> readLine(std::string_view line);
 
-enum class Rule { answer, effect, drain, cold, purge, held };
+enum class Rule { answer, effect, drain, cold, purge, held, near };
+constexpr int howMany = 7;
 const char* word(Rule rule);
 
 struct Breach {
@@ -118,6 +120,8 @@
   struct Front {
     int life = 0;
     bool up = false;
+    int partedIn = -1;                  // its zone, while it is cut off from a quorum of its fleet
+    Ms partedAt = 0;
     std::map<std::string, Ms> leaving;  // machines; emptied when they are ready again
     std::deque<Purge> purges;           // emptied some time after they are done everywhere
   };
@@ -135,7 +139,7 @@
   std::map<std::string, Front> fronts_;
   std::map<std::string, std::string> effects_;  // exclusive things that ran, with the pull; by the run's length
   std::vector<Breach> breaches_;                // the first hundred of each rule
-  std::uint64_t counts_[6] = {};
+  std::uint64_t counts_[howMany] = {};
   Nearest nearest_;
 };
 
--- a/src/stage/stage.cpp
+++ b/src/stage/stage.cpp
@@ -324,6 +324,7 @@
   std::uint32_t there = ntohl(to.sin_addr.s_addr);
   Way& way = net_.way(net_.siteOf(host_), net_.siteOf(there));
   int copies = net_.chance() < way.lost ? 0 : net_.chance() < way.doubled ? 2 : 1;
+  if (net_.apart_.count({host_, there})) copies = 0;
   for (int i = 0; i < copies; ++i) {
     Ms takes = net_.travel(host_, there, bytes.size());
     if (net_.chance() < way.shuffled) takes += 20 * way.latency * net_.chance();
@@ -443,6 +444,10 @@
 void Net::setCut(std::uint32_t host, bool in, bool out) {
   hosts_[host].cutIn = in, hosts_[host].cutOut = out;
 }
+void Net::setApart(std::uint32_t from, std::uint32_t to, bool apart) {
+  if (apart) apart_.insert({from, to});
+  else apart_.erase({from, to});
+}
 void Net::setLag(std::uint32_t host, Ms late) { hosts_[host].late = late; }
 
 bool Net::blocked(std::uint32_t from, std::uint32_t to) {
--- a/src/stage/stage.hpp
+++ b/src/stage/stage.hpp
@@ -11,6 +11,7 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <set>
 #include <stdexcept>
 #include <string>
 #include <vector>
@@ -131,6 +132,7 @@
   Way& way(int from, int to);
   void setCut(std::uint32_t host, bool in, bool out);  // the host alone: nothing comes to it, or from it
   void setLag(std::uint32_t host, Ms late);            // all that comes and goes there takes longer
+  void setApart(std::uint32_t from, std::uint32_t to, bool apart);  // datagrams from one host to another are lost
   void setChoppy(double share) { choppy_ = share; }  // of reads and writes that take a part only
   int siteOf(std::uint32_t host);
 
@@ -190,6 +192,7 @@
   std::vector<std::size_t> freeCalls_, freeParcels_;
   std::map<std::uint32_t, Host> hosts_;
   std::map<std::pair<int, int>, Way> ways_;
+  std::set<std::pair<std::uint32_t, std::uint32_t>> apart_;
   std::vector<std::vector<Way*>> wayAt_;
   std::vector<std::unique_ptr<Process>> processes_;
   std::function<void(const Process&, std::string_view)> logTo_;
--- a/tests/drill_test.cpp
+++ b/tests/drill_test.cpp
@@ -227,7 +227,7 @@
 }
 
 void everyBrokenFrontIsCaughtByItsRule() {
-  int byRule[6] = {};
+  int byRule[rules::howMany] = {};
   for (const mutants::Mutant& m : mutants::all()) {
     mutants::Verdict v = mutants::judge(m, 3);
     if (!v.byItsRule || !v.unbrokenKept) std::fprintf(stderr, "%s\n", m.name.c_str());
--- a/tests/mutants.cpp
+++ b/tests/mutants.cpp
@@ -255,6 +255,35 @@
   }
 };
 
+class GoesFar : public Around {  // half its pulls go to another zone, whatever its fleet says
+  bool tell(Ms, Event& e) override {
+    if (auto* told = std::get_if<ZoneShares>(&e)) told->shares = shares_;
+    return true;
+  }
+  Decider around(Decider module, const StoreSheet& sheet) override {
+    shares_.assign(4, 0);  // the hub and three stores
+    for (std::size_t z : {static_cast<std::size_t>(sheet.zone), static_cast<std::size_t>(sheet.zone == 1 ? 2 : 1)}) shares_[z] = 0.5;
+    module(0, ZoneShares{shares_});
+    return Around::around(std::move(module), sheet);
+  }
+  std::vector<double> shares_;
+};
+class GoesByItsOwnView : public Around {  // a cache that it sets aside sends it to another zone, without asking its fleet
+  void act(Ms now, const Event&, Actions& a) override {
+    for (const Action& one : a)
+      if (auto* told = std::get_if<TellHealth>(&one); told && told->aside) {
+        std::vector<double> shares(4, 0);
+        shares[sheet_.zone == 1 ? 2 : 1] = 1;
+        inner_(now, ZoneShares{shares});
+      }
+  }
+  Decider around(Decider module, const StoreSheet& sheet) override {
+    inner_ = module;
+    return Around::around(std::move(module), sheet);
+  }
+  Decider inner_;
+};
+
 template <class T>
 drill::Breaker made() {
   return [] { return std::unique_ptr<Break>(std::make_unique<T>()); };
@@ -274,6 +303,9 @@
   {"what": "restart", "whom": "cache", "count": 0, "at_s": 4, "for_s": 1}]})";
 const char* const coldAreas = R"({"length_s": 30, "load": {"pulls_per_s": 240, "of_capacity": 0.9}, "troubles": [
   {"what": "restart", "whom": "area", "count": 1, "at_s": 4, "for_s": 2}]})";
+const char* const alone = R"({"length_s": 20, "fleet": {"fronts": 6, "in_common": true}, "troubles": [
+  {"what": "apart", "whom": "front-1", "at_s": 2, "for_s": 16},
+  {"what": "kill", "whom": "cache", "count": 6, "at_s": 6}]})";
 const char* const purges = R"({"length_s": 30, "troubles": [
   {"what": "purge", "at_s": 10, "count": 30}, {"what": "purge", "at_s": 14, "count": 30},
   {"what": "purge_groups", "at_s": 18, "share": 0.4}]})";
@@ -309,6 +341,8 @@
       {"forgets-group-purges", "purges of groups are not passed on", Rule::purge, made<ForgetsGroupPurges>(), purges},
       {"asks-no-age", "no leg says how old a copy may be", Rule::purge, made<AsksNoAge>(), purges},
       {"holds-refusals", "a refusal is held until near its client's time", Rule::held, made<HoldsRefusals>(), crowd},
+      {"goes-far", "half the pulls go to another zone, whatever the fleet says", Rule::near, made<GoesFar>(), alone},
+      {"goes-by-its-own-view", "a front leaves its zone by what it alone sees", Rule::near, made<GoesByItsOwnView>(), alone},
       {"holds-a-while", "a refusal is held for a second", Rule::held, made<HoldsAWhile>(), crowd},
   };
   return list;
