Ownership: leases, fences, a group by libraft, agents, staged schedules, checker of histories

Schedules of faults play the same nodes in virtual time; a checker of histories judges token, fence, lease, resume, finished; six broken variants are all caught. Not wired into the front yet.

--- /dev/null
+++ b/src/fleet/ownersim.hpp
@@ -0,0 +1,86 @@
+// Fronts that own work, their group and the places where work is carried out, on a virtual clock and an in-memory network: the
+// very nodes that a front runs (src/owner/node.*), libraft included. One seed is one schedule of faults, replayed exactly.
+//
+// Faults: pause (datagrams wait, as with SIGSTOP), kill and restart with or without what was stored, cuts both ways and one,
+// delay near the lease, loss, doubling, clocks that run off and step, within the stated bound or past it.
+#pragma once
+#include <memory>
+#include <queue>
+#include <random>
+
+#include "owner/history.hpp"
+#include "owner/node.hpp"
+
+namespace dunlinwick::fleet {
+
+struct OwnerBreaks {  // each a way to be wrong, for the checker to catch
+  bool noFence = false, noMargin = false, reuseTokens = false, grantAlone = false, fromTheStart = false, noLease = false;
+};
+struct OwnerTerms {
+  std::size_t fronts = 5, group = 3, places = 2, works = 2;
+  std::uint64_t steps = 120;
+  owner::Ms each = 100;
+  owner::Terms lease;
+  owner::GroupTerms raft;
+  bool pastBound = false;  // clocks may run off and step past the bound: the fence must do
+  bool loseAll = false;    // all members may lose what they stored, at once: a group founded anew
+  int faults = 6;
+  bool quiet = false;      // no faults but those a test makes
+  OwnerBreaks breaks;
+};
+struct OwnerRun {
+  std::vector<owner::Happened> history;
+  std::vector<owner::Begun> works;
+  std::vector<std::string> lines;   // what the fronts said, with times
+  std::vector<std::string> faults;  // what was done
+  std::uint64_t datagrams = 0;
+  owner::Ms length = 0;
+  bool clocksKept = true, whole = true;
+};
+
+class OwnerSim {
+ public:
+  OwnerSim(OwnerTerms terms, std::uint64_t seed);
+  ~OwnerSim();
+  void runUntil(owner::Ms t);
+  owner::Ms now() const { return now_; }
+  void pause(owner::Id front, bool on);
+  void kill(owner::Id front);
+  void restart(owner::Id front, bool lost);
+  void cut(const std::vector<owner::Id>& group, bool outOnly, bool on, bool places);
+  void slow(owner::Ms delay) { extra_ = delay; }
+  void clock(owner::Id front, double rate, owner::Ms step);
+  owner::Id holder(const std::string& work) const;  // who acts just now; 0: nobody
+  bool allOver() const;
+  OwnerRun run();  // the schedule of its seed, to its end
+  OwnerRun result(bool whole);
+
+ private:
+  struct Front;
+  struct Place;
+  struct Flight {
+    owner::Ms at;
+    std::uint64_t order;
+    owner::Id to;
+    std::string bytes;
+    bool operator>(const Flight& o) const { return at != o.at ? at > o.at : order > o.order; }
+  };
+  void start(Front& f);
+  void send(owner::Id from, owner::Id to, std::string bytes);
+  void deliver(Flight one);
+  double unit() { return std::uniform_real_distribution<double>(0, 1)(random_); }
+
+  OwnerTerms terms_;
+  std::uint64_t seed_;
+  std::knuth_b random_;
+  owner::Ms now_ = 0, extra_ = 0;
+  double loss_ = 0, doubled_ = 0;
+  std::uint64_t order_ = 0, datagrams_ = 0;
+  std::vector<std::unique_ptr<Front>> fronts_;
+  std::vector<std::unique_ptr<Place>> places_;
+  std::priority_queue<Flight, std::vector<Flight>, std::greater<>> flights_;
+  std::map<std::pair<owner::Id, owner::Id>, int> cuts_;
+  OwnerRun run_;
+};
+
+}  // namespace dunlinwick::fleet
--- /dev/null
+++ b/src/owner/fence.hpp
@@ -0,0 +1,45 @@
+// The fence, at whoever carries an action out: a token below the highest it has seen is refused, and so is a step that was
+// done. Pure. What it keeps must last as long as what its actions change; where it is lost, so is the promise.
+// Bounds: as many works as there are (mostWorks); more are refused.
+#pragma once
+#include "owner/lease.hpp"
+
+namespace dunlinwick::owner {
+
+enum class Landing : std::uint8_t { done, doneBefore, staleToken, outOfTurn, full };
+inline const char* word(Landing l) {
+  static const char* const words[] = {"done", "done before", "stale token", "out of turn", "full"};
+  return words[static_cast<int>(l)];
+}
+
+class Fence {
+ public:
+  // Steps are numbered from 1 and land in order; a step that was done says so, so that an owner whose answer was lost goes on.
+  Landing take(const std::string& work, Token token, std::uint64_t step) {
+    auto at = seen_.find(work);
+    if (at == seen_.end()) {
+      if (seen_.size() >= mostWorks) return Landing::full;
+      at = seen_.emplace(work, Seen{}).first;
+    }
+    Seen& s = at->second;
+    if (token < s.token) return Landing::staleToken;
+    s.token = token;
+    if (step <= s.step) return Landing::doneBefore;
+    if (step != s.step + 1) return Landing::outOfTurn;
+    s.step = step;
+    return Landing::done;
+  }
+  Token highest(const std::string& work) const {
+    auto at = seen_.find(work);
+    return at == seen_.end() ? 0 : at->second.token;
+  }
+
+ private:
+  struct Seen {
+    Token token = 0;
+    std::uint64_t step = 0;
+  };
+  std::map<std::string, Seen> seen_;
+};
+
+}  // namespace dunlinwick::owner
--- /dev/null
+++ b/src/owner/group.hpp
@@ -0,0 +1,61 @@
+// The group of fronts that agrees on the table of works: consensus by Debian's libraft (Raft, without pre-vote: group.cpp says why), its I/O given
+// by this class, so that the same code runs on a front's loop and on the stage. No clock, descriptor or randomness of its own.
+//
+// Founding. Raft must not forget a vote. A member whose store holds nothing either is of a group that has never been, or has
+// lost what it promised; it can't tell by itself. So it says hello until every configured member has said, in the same
+// incarnation, that it too begins and whom it saw beginning; then all found the group. Where one that belongs to a group does
+// not count its present incarnation among the founders, its state is lost: it takes no part any more, and says so. So a group
+// in memory bears the loss of a minority, for good; after a majority is lost it grants nothing.
+// Tokens of a group founded anew begin with the founding's clock (seconds << 20), above all before as long as clocks did not
+// step back by more than the time between; else the fences refuse them, which is told.
+//
+// Bounds: 3 or 5 members; a snapshot each 256 entries, 32 kept; a message is 60,000 bytes at most; 256 proposals at once.
+#pragma once
+#include <functional>
+#include <memory>
+
+#include "owner/lease.hpp"
+#include "owner/store.hpp"
+
+namespace dunlinwick::owner {
+
+struct GroupTerms {
+  Ms election = 500, heartbeat = 100;  // Raft's; an election takes one to two of the first
+  Ms tick = 20;
+};
+
+class Group {
+ public:
+  using Send = std::function<void(Id to, std::string bytes)>;
+  using Done = std::function<void(const Result&)>;
+  enum class Standing : std::uint8_t { begins, member, lost, failed };
+  // `members`: all of the group, self among them. `incarnation`: of this process, newer at each start. `seconds`: the clock's,
+  // for tokens. Throws std::runtime_error where the store can't be read.
+  Group(Id self, std::vector<Id> members, GroupTerms terms, Terms lease, Store& store, std::uint64_t incarnation, std::uint64_t seed,
+        Ms now, Send send);
+  ~Group();
+  Group(const Group&) = delete;
+  Group& operator=(const Group&) = delete;
+
+  void tick(Ms now);  // every GroupTerms::tick or so
+  void receive(Ms now, Id from, std::span<const char> bytes);
+  // At the leader: `done` is called once, now or in a later call into the group, with the result once a majority has it; unsure where
+  // that can't be known, as when leadership was lost. False, and never called, elsewhere or with too many under way.
+  bool propose(Ms now, const Command& command, Done done);
+
+  Standing standing() const;
+  bool leads() const;
+  Id leader() const;  // 0: not known
+  std::uint64_t term() const;
+  const Table& table() const;
+  Ms leaseEnds(const std::string& work) const;  // at the leader: by when it has surely run out; 1e300 where nobody holds it
+  std::string why() const;  // of lost and failed
+  void breakTokens();       // for a test that breaks it on purpose: tokens begin at 1 with each founding
+
+ private:
+  struct Inner;
+  std::unique_ptr<Inner> inner_;
+};
+const char* word(Group::Standing standing);
+
+}  // namespace dunlinwick::owner
--- /dev/null
+++ b/src/owner/lease.hpp
@@ -0,0 +1,120 @@
+// Who owns each piece of the fleet's work: the table that a small group of fronts agrees on, and the two clocks that a
+// lease stands on. Pure: commands and time in, results out. The same commands in the same order make the same table;
+// the order is consensus' part (src/owner/group.*).
+//
+// What it promises, and what the schedules in tests/owner_test.cpp look at:
+// - A token is given once: it grows with every grant, over all works, and never falls (it is part of the table).
+// - A lease runs out by two clocks, neither of which is compared with the other. Its owner counts from when it *asked*
+//   and stops acting at lease * (1 - drift) - margin; the group's leader counts from when it *applied* the grant or
+//   renewal, or came to lead, and gives it to nobody else before lease * (1 + drift) + margin. What was asked is applied
+//   later, so the owner stops first, as long as no clock runs off by more than `drift`, or steps by more than `margin`
+//   within one lease. Past that bound the fence holds (src/owner/fence.hpp): clocks keep two from acting at once, the
+//   fence keeps what the late one does from landing.
+// Bounds: 64 works, names of 48 letters, digits and dashes at most; a command is 100 bytes at most.
+#pragma once
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace dunlinwick::owner {
+
+using Ms = double;
+using Id = std::uint32_t;  // a front's number in the fleet; 0 is nobody
+using Token = std::uint64_t;
+constexpr std::size_t mostWorks = 64, longestName = 48;
+
+struct Terms {
+  Ms lease = 3000, margin = 200;
+  double drift = 0.01;
+  Ms renewEvery = 800;  // the owner asks again this often; under a third of the lease
+};
+
+// found: the first command of a group, by its leader; its token is what all others are above.
+enum class Deed : std::uint8_t { take, renew, record, finish, abandon, release, expire, found };
+const char* word(Deed deed);
+
+struct Command {
+  Deed deed = Deed::take;
+  Id front = 0;       // who asks
+  Token token = 0;    // that it holds; of expire: the one that has run out
+  std::uint64_t step = 0;  // of record: done up to and with it; of take: how many there are, where the work is new
+  std::string work;
+};
+std::string encode(const Command& command);
+std::optional<Command> decode(std::span<const char> bytes);  // nothing for anything that is not one whole
+bool goodName(const std::string& name);
+
+struct Work {
+  Id owner = 0;  // 0: nobody
+  Token token = 0;         // of the last grant
+  std::uint64_t done = 0, steps = 0;
+  bool finished = false, abandoned = false;
+};
+
+enum class Word : std::uint8_t { yes, held, stale, over, unknownWork, full, unsure };
+const char* word(Word word);
+struct Result {
+  Word word = Word::yes;
+  Token token = 0;
+  std::uint64_t done = 0;
+  Id owner = 0;
+};
+
+class Table {
+ public:
+  Result apply(const Command& command);
+  const std::map<std::string, Work>& works() const { return works_; }
+  Token lastToken() const { return lastToken_; }
+  bool fresh() const { return lastToken_ == base_; }  // founded, or not even that, and nothing granted yet
+  std::string snapshot() const;
+  bool restore(std::span<const char> bytes);  // false, and nothing changed, where they are not one snapshot whole
+
+ private:
+  std::map<std::string, Work> works_;
+  Token lastToken_ = 0, base_ = 0;  // base_: that the group was founded with
+};
+
+// The leader's clock: which leases have run out for certain.
+class Keeper {
+ public:
+  explicit Keeper(Terms terms) : terms_(terms) {}
+  void leads(Ms now, const Table& table);          // it has just come to lead: every lease may be as young as now
+  void applied(Ms now, const Command& c, const Result& r);
+  std::vector<Command> due(Ms now, const Table& table) const;  // expirations to propose
+  // A group that has granted nothing yet may follow one whose stores were lost: its leases may still run. Guards against two
+  // owners after a founding anew; costs a lease at the first.
+  bool mayGrant(Ms now, const Table& table) const { return !table.fresh() || now >= runsOut(ledAt_); }
+  Ms ends(const std::string& work) const {         // by when its lease has surely run out; 1e300 where it is not known
+    auto at = seen_.find(work);
+    return at == seen_.end() ? 1e300 : runsOut(at->second);
+  }
+
+ private:
+  Ms runsOut(Ms from) const { return from + terms_.lease * (1 + terms_.drift) + terms_.margin; }
+  Terms terms_;
+  std::map<std::string, Ms> seen_;  // by work; at most as many as works
+  Ms ledAt_ = 0;
+};
+
+// An owner's clock, for one work at one front.
+class Holder {
+ public:
+  explicit Holder(Terms terms) : terms_(terms) {}
+  // A grant or renewal that was asked for at `askedAt`, by its own clock.
+  void granted(Ms askedAt, const Result& r) { token_ = r.token, until_ = askedAt + terms_.lease * (1 - terms_.drift) - terms_.margin; }
+  void lost() { token_ = 0, until_ = -1; }
+  bool holds() const { return token_ != 0; }
+  bool mayAct(Ms now) const { return token_ != 0 && now < until_; }
+  Ms until() const { return until_; }
+  Token token() const { return token_; }
+
+ private:
+  Terms terms_;
+  Token token_ = 0;
+  Ms until_ = -1;
+};
+
+}  // namespace dunlinwick::owner
--- /dev/null
+++ b/src/owner/node.hpp
@@ -0,0 +1,73 @@
+// One front of the owner's fleet: its agent, its member of the group where it is one, and their datagrams. It runs on a
+// front's socket (src/front/owner.*) and on the stage (src/owner/stage.*) as it is.
+//
+// Datagram: "DO" 1 | kind u8 | from u32 | body. Bytes from outside never throw: what is not one message whole is dropped and counted.
+#pragma once
+#include <deque>
+#include <memory>
+
+#include "owner/agent.hpp"
+#include "owner/group.hpp"
+
+namespace dunlinwick::owner {
+
+enum class Kind : std::uint8_t { group, ask, answer, act, did };
+std::string encodeDid(Id from, const Did& d);
+std::string encodeDo(Id from, const Do& d);
+struct Frame {
+  Kind kind = Kind::group;
+  Id from = 0;
+  std::span<const char> body;
+};
+std::optional<Frame> frame(std::span<const char> bytes);
+std::optional<Do> decodeDo(std::span<const char> body);
+
+struct NodeTerms {
+  Id self = 0;
+  std::vector<Id> group;
+  std::vector<Job> jobs;
+  Terms lease;
+  GroupTerms raft;
+};
+
+class Node {
+ public:
+  struct Ways {
+    std::function<void(Id to, std::string bytes)> send;
+    std::function<void(const std::string& line)> say;
+  };
+  // `store`: of a member of the group; it outlives the node. `clockSeconds`: for the incarnation.
+  Node(NodeTerms terms, Store* store, std::uint64_t incarnation, std::uint64_t seed, Ms now, Ways ways);
+  void tick(Ms now);
+  void receive(Ms now, std::span<const char> bytes);
+  Agent& agent() { return agent_; }
+  Group* group() { return group_.get(); }
+  const NodeTerms& terms() const { return terms_; }
+  std::uint64_t refused() const { return refused_; }
+  // A group that grants to whoever asks, without asking its majority: for a test that breaks it on purpose.
+  bool grantsAlone = false;
+
+ private:
+  void asked(Ms now, Id from, const Ask& a);
+  void answer(Ms now, Id to, const Answer& a);
+  Agent::Out out(Ms now);
+  void note();
+
+  NodeTerms terms_;
+  Ways ways_;
+  std::unique_ptr<Group> group_;
+  Agent agent_;
+  std::uint64_t refused_ = 0;
+  Group::Standing told_ = Group::Standing::begins;
+  bool led_ = false;
+  // Questions under way here, so that one asked twice is put to the group once; emptied as they are answered.
+  std::set<std::pair<Id, std::uint64_t>> underWay_;
+  // The last answers given as a leader: a question whose answer was lost gets the same one, not a second grant.
+  std::deque<std::pair<std::pair<Id, std::uint64_t>, Result>> given_;
+  // What is sent to oneself waits for the end of the call.
+  std::vector<std::string> toSelf_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+  Table alone_;
+};
+
+}  // namespace dunlinwick::owner
--- /dev/null
+++ b/src/owner/store.hpp
@@ -0,0 +1,74 @@
+// What a member of the group must not forget: its term, its vote, its log, its snapshot. Each call lasts before it returns, or
+// throws std::runtime_error, after which the member takes no further part.
+#pragma once
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace dunlinwick::owner {
+
+struct LogEntry {
+  std::uint64_t term = 0;
+  unsigned short type = 0;
+  std::string bytes;
+};
+struct StoredSnapshot {
+  std::uint64_t index = 0, term = 0, configurationIndex = 0;
+  std::string configuration, data;
+};
+struct StoredState {
+  std::uint64_t term = 0, vote = 0;
+  std::uint64_t first = 1;  // the index of the first entry
+  std::vector<LogEntry> entries;
+  std::optional<StoredSnapshot> snapshot;
+  std::string founding;  // how the group began; "" where this member has never been part of one
+};
+
+class Store {
+ public:
+  virtual ~Store() = default;
+  virtual bool lasts() const = 0;  // past the end of the process
+  virtual StoredState load() = 0;
+  virtual void found(const std::string& founding) = 0;
+  virtual void setTerm(std::uint64_t term) = 0;  // forgets the vote
+  virtual void setVote(std::uint64_t vote) = 0;
+  virtual void append(const std::vector<LogEntry>& entries) = 0;
+  virtual void truncate(std::uint64_t from) = 0;  // drops this index and all after it
+  // Entries up to its index less `trailing` go.
+  virtual void take(const StoredSnapshot& snapshot, std::uint64_t trailing) = 0;
+};
+
+// In memory: gone with the process. On the stage it is kept or dropped as a disk would be.
+class MemoryStore final : public Store {
+ public:
+  bool lasts() const override { return false; }
+  StoredState load() override { return state_; }
+  void found(const std::string& founding) override { state_.founding = founding; }
+  void setTerm(std::uint64_t term) override { state_.term = term, state_.vote = 0; }
+  void setVote(std::uint64_t vote) override { state_.vote = vote; }
+  void append(const std::vector<LogEntry>& entries) override {
+    state_.entries.insert(state_.entries.end(), entries.begin(), entries.end());
+  }
+  void truncate(std::uint64_t from) override {
+    if (from < state_.first) state_.entries.clear(), state_.first = from;
+    else if (from - state_.first < state_.entries.size()) state_.entries.resize(from - state_.first);
+  }
+  void take(const StoredSnapshot& s, std::uint64_t trailing) override {
+    std::uint64_t last = state_.first + state_.entries.size() - 1;
+    // One that came from the leader may lie beyond the log: nothing of it is of use then.
+    if (trailing == 0 || s.index > last) {
+      state_.entries.clear(), state_.first = s.index + 1;
+    } else if (s.index > trailing && s.index - trailing >= state_.first) {
+      std::uint64_t keep = s.index - trailing + 1;
+      state_.entries.erase(state_.entries.begin(), state_.entries.begin() + static_cast<std::ptrdiff_t>(keep - state_.first));
+      state_.first = keep;
+    }
+    state_.snapshot = s;
+  }
+
+ private:
+  StoredState state_;
+};
+
+}  // namespace dunlinwick::owner
