--- a/src/ctl/fleet.cpp
+++ b/src/ctl/fleet.cpp
@@ -217,6 +217,19 @@
   throw std::runtime_error("no fleet answers at 127.0.0.3:" + std::to_string(port) + "; start one with dunlinctl fleet up, or name its port with --port");
 }
 
+}  // namespace
+
+std::vector<std::string> ownersUp(int port) {
+  loop::Loop loop;
+  auto who = json::read(control(loop, port, whoAsks));
+  std::vector<std::string> all;
+  auto n = static_cast<std::size_t>(who ? who->number("fronts").value_or(0) : 0);
+  for (std::size_t i = 0; i < n; ++i) all.push_back("127.0.0." + std::to_string(10 + i) + ":" + std::to_string(port + 600));
+  return all;
+}
+
+namespace {
+
 struct FaultRun {
   std::string file, on = "up", fleetFile;
   int port = 7400, fronts = 0;
--- a/src/ctl/fleet.hpp
+++ b/src/ctl/fleet.hpp
@@ -4,4 +4,6 @@
 
 namespace dunlinwick::ctl {
 void addFleet(CLI::App& app, int& code);
+// The owners' addresses of the fleet that is up at this port; throws where none answers.
+std::vector<std::string> ownersUp(int port);
 }
--- a/src/ctl/owner.cpp
+++ b/src/ctl/owner.cpp
@@ -5,6 +5,7 @@
 #include <cstdio>
 #include <map>
 
+#include "ctl/fleet.hpp"
 #include "fleet/harness.hpp"
 
 namespace dunlinwick::ctl {
@@ -13,9 +14,11 @@
 
 struct Status {
   std::vector<std::string> at;
+  int port = 7400;
   bool json = false;
 
-  int operator()() const {
+  int operator()() {
+    if (at.empty()) at = ownersUp(port);
     loop::Loop loop;
     loop::Address mine{};
     mine.sin_family = AF_INET;
@@ -71,7 +74,8 @@
   auto status = std::make_shared<Status>();
   CLI::App* c = owner->add_subcommand("status", "each piece of work, its owner, token and lease, as the group has it");
   c->footer("exit: 0 every front asked has answered, 4 some have not, 1 bad input. Leases are the leader's to know: ask it too");
-  c->add_option("--at", status->at, "owner.listen of a front, such as 127.0.0.10:7600; again for each")->required();
+  c->add_option("--at", status->at, "owner.listen of a front, such as 127.0.0.10:7600; again for each; else those of the fleet that is up");
+  c->add_option("--port", status->port, "without --at: the port of the fleet that is up")->capture_default_str();
   c->add_flag("--json", status->json, "every front's whole status as a JSON list");
   c->callback([status, &code] { code = (*status)(); });
 }
