--- a/src/drill/script.cpp
+++ b/src/drill/script.cpp
@@ -76,19 +76,8 @@
   return text;
 }
 
-const rapidjson::Value* member(const rapidjson::Value& v, const char* name) {
-  auto at = v.FindMember(name);
-  return at == v.MemberEnd() ? nullptr : &at->value;
-}
-
-template <class T>
-void take(const rapidjson::Value* in, const char* name, T& into, double times = 1) {
-  const rapidjson::Value* v = in ? member(*in, name) : nullptr;
-  if (!v) return;
-  if constexpr (std::is_same_v<T, bool>) into = v->GetBool();
-  else if constexpr (std::is_same_v<T, std::string>) into = v->GetString();
-  else into = static_cast<T>(v->GetDouble() * times);
-}
+using schema::member;
+using schema::take;
 
 constexpr double second = 1000;
 
--- a/src/fleet/script.cpp
+++ b/src/fleet/script.cpp
@@ -72,17 +72,10 @@
   return text.replace(text.find("DEEDS"), 5, words);
 }
 
-const rapidjson::Value* member(const rapidjson::Value& v, const char* name) {
-  auto at = v.FindMember(name);
-  return at == v.MemberEnd() ? nullptr : &at->value;
-}
+using schema::member;
 template <class T>
 void take(const rapidjson::Value& in, const char* name, T& into, double times = 1) {
-  const rapidjson::Value* v = member(in, name);
-  if (!v) return;
-  if constexpr (std::is_same_v<T, bool>) into = v->GetBool();
-  else if constexpr (std::is_same_v<T, std::string>) into = v->GetString();
-  else into = static_cast<T>(v->GetDouble() * times);
+  schema::take(&in, name, into, times);
 }
 
 bool ofFronts(Deed d) { return d <= Deed::cutOut; }
--- a/src/schema/schema.hpp
+++ b/src/schema/schema.hpp
@@ -40,6 +40,21 @@
   std::vector<std::pair<std::string, int>> lines_;
 };
 
+// A member of an object, null where it is not there; and its value put into `into` (numbers times `times`), which stays as it
+// was where it is absent. Only after the schema has seen to its kind.
+inline const rapidjson::Value* member(const rapidjson::Value& v, const char* name) {
+  auto at = v.FindMember(name);
+  return at == v.MemberEnd() ? nullptr : &at->value;
+}
+template <class T>
+void take(const rapidjson::Value* in, const char* name, T& into, double times = 1) {
+  const rapidjson::Value* v = in ? member(*in, name) : nullptr;
+  if (!v) return;
+  if constexpr (std::is_same_v<T, bool>) into = v->GetBool();
+  else if constexpr (std::is_same_v<T, std::string>) into = v->GetString();
+  else into = static_cast<T>(v->GetDouble() * times);
+}
+
 // Throws Refused where the file can't be read. At most 4 MB.
 std::string readFile(const std::string& path);
 
