--- a/tests/quota_test.cpp
+++ b/tests/quota_test.cpp
@@ -357,6 +357,47 @@
   return s.run;
 }
 
+// From the heal of a cut until every front has at least nine tenths of what it had before it. `lost`: the allocator is among those
+// cut off, so that another has taken over meanwhile.
+Ms fairAgainAfter(std::uint64_t seed, bool lost) {
+  Sim s(9, seed);
+  for (std::size_t i = 0; i < 9; ++i) s.fronts[i].want = i % 3 == 0 ? 150 : 3;
+  s.until(9000);
+  std::vector<std::size_t> group;
+  for (std::size_t i = 0; group.size() < 3; ++i)
+    if (static_cast<int>(i) != s.at) group.push_back(i);
+  if (lost) group[0] = static_cast<std::size_t>(s.at);
+  std::vector<double> before;
+  for (auto& f : s.fronts) before.push_back(f.shares->share(f.clock(s.now), 0));
+  s.cut(group, true);
+  s.until(s.now + 8000);
+  s.cut(group, false);
+  Ms healed = s.now;
+  // What those that ask for little hold beyond it is spread evenly and moves: only what is asked for must be back.
+  auto fair = [&] {
+    for (std::size_t i = 0; i < 9; ++i)
+      if (s.fronts[i].shares->share(s.fronts[i].clock(s.now), 0) < 0.9 * std::min(before[i], s.fronts[i].want)) return false;
+    return true;
+  };
+  while (!fair() && s.now < healed + 60000) s.step();
+  assert(s.run.excess <= slack);
+  return s.now - healed;
+}
+
+// From the round in which two fronts first say that the head office is crowded until all that are heard know the same verdict.
+Ms verdictAfter(std::uint64_t seed) {
+  Sim s(9, seed);
+  for (auto& f : s.fronts) f.want = 30;
+  s.until(9000 + 37.0 * static_cast<double>(seed));
+  Ms from = s.now;
+  s.fronts[2].shares->bad(0, true), s.fronts[7].shares->bad(0, true);
+  auto known = [&] {
+    return std::all_of(s.fronts.begin(), s.fronts.end(), [](auto& f) { return f.shares->epoch() == 1 && f.shares->factor(0) < 1; });
+  };
+  while (!known() && s.now < from + 60000) s.step();
+  return s.now - from;
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -396,5 +437,13 @@
               static_cast<unsigned long long>(seeds), worst.allocators, worst.oldest, used, fixed);
   std::printf("uneven demand over the limit: %.1f%% of the limit used, by a fixed split %.1f%%\n", 100 * share, 100 * split);
   assert(share > split);
+  Ms fairMost = 0, fairLost = 0, verdictMost = 0;
+  for (std::uint64_t seed = 1; seed <= 30; ++seed) {
+    fairMost = std::max(fairMost, fairAgainAfter(seed, false)), fairLost = std::max(fairLost, fairAgainAfter(seed, true));
+    verdictMost = std::max(verdictMost, verdictAfter(seed));
+  }
+  std::printf("fair again after a heal: %.0f ms at most, with the allocator cut off %.0f (bound %.0f); a verdict known to all: %.0f (bound %.0f)\n", fairMost,
+              fairLost, fairWithin(Terms{}), verdictMost, verdictWithin(Terms{}));
+  assert(fairMost <= fairWithin(Terms{}) && fairLost <= fairWithin(Terms{}) && verdictMost <= verdictWithin(Terms{}));
   std::puts("quota_test: all passed");
 }
