Questions to the group are known by their words and numbered from the clock

Seen: under the sanitizers the part of the owner's tests in which a member comes back without its store broke the token promise: one token for two works. Checked: the place's and fronts' logs; tokens in the table were distinct. Cause: Agent numbered questions from the configured seed, the same in each life, and Node::given_, which keeps answers for those that were lost, knew them by front and number alone, so the new process got an old answer. Now numbers begin with the clock in milliseconds and answers are known by the question's words too; the member's incarnation is in milliseconds as well, so that a restart within a second is another.

--- a/src/front/owner.cpp
+++ b/src/front/owner.cpp
@@ -46,7 +46,7 @@
   };
   ways.say = [this](const std::string& line) { log::say("%s at %.0f", line.c_str(), loop_.now()); };
   auto now = loop.now();
-  in.node = std::make_unique<owner::Node>(std::move(t), in.store.get(), static_cast<std::uint64_t>(now / 1000), seed, now, std::move(ways));
+  in.node = std::make_unique<owner::Node>(std::move(t), in.store.get(), static_cast<std::uint64_t>(now), seed, now, std::move(ways));
   log::say("owner: front %u, %s, %zu works%s", terms.self, member ? "in the group" : "not in the group", terms.works.size(),
            member && terms.store.empty() ? "; in memory: a member that restarts is lost to the group" : "");
   loop_.watch(in.socket.get(), *this, POLLIN);
--- a/src/owner/agent.cpp
+++ b/src/owner/agent.cpp
@@ -9,7 +9,7 @@
 constexpr Ms giveUpAfter = 1200;  // a question whose answer never came is put anew: the group may have forgotten it
 }  // namespace
 
-Agent::Agent(Id self, std::vector<Id> group, std::vector<Job> jobs, Terms terms, std::uint64_t seed, Ms now)
+Agent::Agent(Id self, std::vector<Id> group, std::vector<Job> jobs, Terms terms, std::uint64_t seed, std::uint64_t incarnation, Ms now)
     : self_(self), group_(std::move(group)), terms_(terms), random_(static_cast<unsigned>(seed ^ (seed >> 32))) {
   // Fronts ask at different times, so that not always the same comes first.
   std::uniform_real_distribution<double> offset(0, terms_.renewEvery);
@@ -17,8 +17,8 @@
     works_.emplace_back(std::move(j), terms_);
     works_.back().tryAt = now + offset(random_);
   }
-  // Numbers differ from an earlier process's, whose answers may still come.
-  numbers_ = static_cast<std::uint64_t>(random_()) << 32;
+  // Numbers differ from an earlier process's, whose answers may still come: the seed is the same for each, as configured.
+  numbers_ = incarnation << 20;
 }
 
 bool Agent::mayAct(Ms now, const One& w) const {
--- a/src/owner/agent.hpp
+++ b/src/owner/agent.hpp
@@ -55,7 +55,8 @@
     bool fromTheStart = false;  // resumes from before the last recorded step
     bool noLease = false;     // acts for ever once it was granted
   };
-  Agent(Id self, std::vector<Id> group, std::vector<Job> jobs, Terms terms, std::uint64_t seed, Ms now);
+  Agent(Id self, std::vector<Id> group, std::vector<Job> jobs, Terms terms, std::uint64_t seed, std::uint64_t incarnation,
+        Ms now);
   void tick(Ms now, const Out& out);  // every 20 ms or so
   void answered(Ms now, Id from, const Answer& a, const Out& out);
   void did(Ms now, Id from, const Did& d, const Out& out);
--- a/src/owner/group.cpp
+++ b/src/owner/group.cpp
@@ -199,7 +199,7 @@
       led = true;
       keeper.leads(now, table);
       // Also what commits the entries of earlier terms: Raft lets a leader do so only by one of its own.
-      constexpr int shift = 20;  // a million grants a second
+      constexpr int shift = 20;  // a million grants a millisecond, and 64 bits for centuries
       propose(Command{Deed::found, self, reuseTokens ? 1 : incarnation << shift, 0, "group"}, [](const Result&) {});
     }
     led = leadsNow;
--- a/src/owner/group.hpp
+++ b/src/owner/group.hpp
@@ -6,7 +6,7 @@
 // incarnation, that it too begins and whom it saw beginning; then all found the group. Where one that belongs to a group does
 // not count its present incarnation among the founders, its state is lost: it takes no part any more, and says so. So a group
 // in memory bears the loss of a minority, for good; after a majority is lost it grants nothing.
-// Tokens of a group founded anew begin with the founding's clock (seconds << 20), above all before as long as clocks did not
+// Tokens of a group founded anew begin with the founding's clock (milliseconds << 20), above all before as long as clocks did not
 // step back by more than the time between; else the fences refuse them, which is told.
 //
 // Bounds: 3 or 5 members; a snapshot each 256 entries, 32 kept; a message is 60,000 bytes at most; 256 proposals at once.
@@ -29,8 +29,8 @@
   using Send = std::function<void(Id to, std::string bytes)>;
   using Done = std::function<void(const Result&)>;
   enum class Standing : std::uint8_t { begins, member, lost, failed };
-  // `members`: all of the group, self among them. `incarnation`: of this process, newer at each start. `seconds`: the clock's,
-  // for tokens. Throws std::runtime_error where the store can't be read.
+  // `members`: all of the group, self among them. `incarnation`: of this process, newer at each start: best the clock in
+  // milliseconds. Throws std::runtime_error where the store can't be read.
   Group(Id self, std::vector<Id> members, GroupTerms terms, Terms lease, Store& store, std::uint64_t incarnation, std::uint64_t seed,
         Ms now, Send send);
   ~Group();
--- a/src/owner/node.cpp
+++ b/src/owner/node.cpp
@@ -57,7 +57,7 @@
 }
 
 Node::Node(NodeTerms terms, Store* store, std::uint64_t incarnation, std::uint64_t seed, Ms now, Ways ways)
-    : terms_(std::move(terms)), ways_(std::move(ways)), agent_(terms_.self, terms_.group, terms_.jobs, terms_.lease, seed, now) {
+    : terms_(std::move(terms)), ways_(std::move(ways)), agent_(terms_.self, terms_.group, terms_.jobs, terms_.lease, seed, incarnation, now) {
   if (store)
     group_ = std::make_unique<Group>(terms_.self, terms_.group, terms_.raft, terms_.lease, *store, incarnation, seed * 31 + 7, now,
                                      [this](Id to, std::string bytes) {
@@ -100,15 +100,16 @@
   }
   if (!group_) return answer(now, from, {a.number, {}, 0, false});
   if (!group_->leads()) return answer(now, from, {a.number, {}, group_->leader(), false});
-  for (const auto& [who, r] : given_)
-    if (who == std::pair{from, a.number}) return answer(now, from, {a.number, r, 0, true});
+  std::string command = encode(a.command);
+  for (const Given& g : given_)
+    if (g.from == from && g.number == a.number && g.command == command) return answer(now, from, {a.number, g.result, 0, true});
   if (!underWay_.insert({from, a.number}).second) return;  // answered once the group has it
   std::weak_ptr<bool> alive = alive_;
-  bool taken = group_->propose(now, a.command, [this, alive, now, from, number = a.number](const Result& r) {
+  bool taken = group_->propose(now, a.command, [this, alive, now, from, number = a.number, command](const Result& r) {
     if (alive.expired()) return;
     underWay_.erase({from, number});
     constexpr std::size_t mostGiven = 256;
-    if (r.word != Word::unsure) given_.push_back({{from, number}, r});
+    if (r.word != Word::unsure) given_.push_back({from, number, command, r});
     if (given_.size() > mostGiven) given_.pop_front();
     answer(now, from, {number, r, 0, true});
   });
--- a/src/owner/node.hpp
+++ b/src/owner/node.hpp
@@ -36,7 +36,7 @@
     std::function<void(Id to, std::string bytes)> send;
     std::function<void(const std::string& line)> say;
   };
-  // `store`: of a member of the group; it outlives the node. `clockSeconds`: for the incarnation.
+  // `store`: of a member of the group; it outlives the node. `incarnation`: newer at each start.
   Node(NodeTerms terms, Store* store, std::uint64_t incarnation, std::uint64_t seed, Ms now, Ways ways);
   void tick(Ms now);
   void receive(Ms now, std::span<const char> bytes);
@@ -62,8 +62,15 @@
   bool led_ = false;
   // Questions under way here, so that one asked twice is put to the group once; emptied as they are answered.
   std::set<std::pair<Id, std::uint64_t>> underWay_;
-  // The last answers given as a leader: a question whose answer was lost gets the same one, not a second grant.
-  std::deque<std::pair<std::pair<Id, std::uint64_t>, Result>> given_;
+  // The last answers given as a leader: a question whose answer was lost gets the same one, not a second grant. Known by its
+  // words too: a number alone may be an earlier process's (found by a member that came back without its store).
+  struct Given {
+    Id from = 0;
+    std::uint64_t number = 0;
+    std::string command;
+    Result result;
+  };
+  std::deque<Given> given_;
   // What is sent to oneself waits for the end of the call.
   std::vector<std::string> toSelf_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
