Process tests that abort end what they started; two dead ends go

Seen: a failed assert left the fronts, toys and places of its fleet running, since no destructor runs after an abort.

--- a/src/ctl/fleet.cpp
+++ b/src/ctl/fleet.cpp
@@ -68,11 +68,11 @@
     for (const json::Value& m : ms->items) (m.word("state") == "alive" ? alive : m.word("state") == "dead" ? dead : suspect)++;
   return std::to_string(alive) + "/" + std::to_string(suspect) + "/" + std::to_string(dead);
 }
-void printRow(std::size_t i, const std::string& zone, const json::Value* v, const std::string& last) {
+void printRow(std::size_t i, const std::string& zone, const json::Value* v) {
   if (!v) std::printf("%5zu  %-10s %-60s\n", i, zone.c_str(), "no answer");
   else
-    std::printf("%5zu  %-10s %-11s %5s  %-12s %-30s %s\n", i, zone.c_str(), memberWords(*v).c_str(), one(*v, "epoch").c_str(),
-                one(*v, "out").empty() ? "none" : one(*v, "out").c_str(), one(*v, "shares").c_str(), last.c_str());
+    std::printf("%5zu  %-10s %-11s %5s  %-12s %s\n", i, zone.c_str(), memberWords(*v).c_str(), one(*v, "epoch").c_str(),
+                one(*v, "out").empty() ? "none" : one(*v, "out").c_str(), one(*v, "shares").c_str());
 }
 const char* const head = "front  zone       alive/susp/dead  epoch  out       shares\n";
 
@@ -154,11 +154,9 @@
       h.ask(f.pullsPerS);
       take(script);
       Ms from = loop.now(), until = lasts > 0 ? from + lasts * 1000 : 1e300, tableAt = from;
-      std::string last;
       while (!asked && loop.now() < until) {
         while (!due.empty() && due.front().first <= loop.now()) {
-          last = fleet::text(due.front().second);
-          if (!quiet && !json) std::printf("%7.1f s  %s\n", (loop.now() - from) / 1000, last.c_str());
+          if (!quiet && !json) std::printf("%7.1f s  %s\n", (loop.now() - from) / 1000, fleet::text(due.front().second).c_str());
           h.does(due.front().second);
           due.erase(due.begin());
         }
@@ -195,7 +193,7 @@
     std::printf("-- %.1f s\n%s", at / 1000, head);
     for (std::size_t i = 0; i < h.size(); ++i) {
       auto v = h.up(i) ? h.view(i) : std::nullopt;
-      printRow(i, h.fleet().zones[static_cast<std::size_t>(h.fleet().zoneOf[i])], v ? &*v : nullptr, "");
+      printRow(i, h.fleet().zones[static_cast<std::size_t>(h.fleet().zoneOf[i])], v ? &*v : nullptr);
     }
     std::fflush(stdout);
   }
@@ -300,7 +298,7 @@
       auto v = fleet::askView(loop, fd, front, &raw);
       silent += !v;
       if (json) all += (i ? ",\n " : "\n ") + (v ? raw : "{\"self\":" + std::to_string(i) + ",\"silent\":true}");
-      else printRow(i, v ? std::string(v->word("zone")) : "", v ? &*v : nullptr, "");
+      else printRow(i, v ? std::string(v->word("zone")) : "", v ? &*v : nullptr);
     }
     if (json) std::printf("%s\n]\n", all.c_str());
     return silent ? 4 : 0;
--- a/src/failover/verdict.cpp
+++ b/src/failover/verdict.cpp
@@ -35,13 +35,6 @@
   verdict_.shares = sharesFor(verdict_.health, verdict_.panic);
 }
 
-std::string Verdicts::zonesText(std::uint64_t set) const {
-  std::string text;
-  for (std::size_t z = 0; z < zoneRegion_.size(); ++z)
-    if (set >> z & 1) text += (text.empty() ? "" : ",") + std::to_string(z);
-  return text.empty() ? "none" : text;
-}
-
 Opinion Verdicts::look(Ms now, double health, const std::vector<Peer>& living, bool& changed) {
   std::vector<int> up(zoneRegion_.size()), suspects(zoneRegion_.size());
   auto zoneOf = [&](Id id) { return static_cast<std::size_t>(fronts_.at(id).zone); };
--- a/src/failover/verdict.hpp
+++ b/src/failover/verdict.hpp
@@ -22,7 +22,6 @@
 #pragma once
 #include <cstdint>
 #include <map>
-#include <string>
 #include <vector>
 
 namespace dunlinwick::failover {
@@ -87,7 +86,6 @@
   Opinion look(Ms now, double health, const std::vector<Peer>& living, bool& changed);
   const Verdict& verdict() const { return verdict_; }
   int quorum() const { return quorum_; }
-  std::string zonesText(std::uint64_t set) const;  // "1,3" or "none"
 
  private:
   bool decide(Ms now, const Opinion& own, const std::map<Id, Opinion>& heard, std::size_t alive);
--- a/src/fleet/harness.cpp
+++ b/src/fleet/harness.cpp
@@ -7,6 +7,7 @@
 #include <sys/wait.h>
 
 #include <algorithm>
+#include <csignal>
 #include <cstdio>
 #include <filesystem>
 #include <fstream>
@@ -41,6 +42,32 @@
 }
 }  // namespace
 
+// A test that fails ends by abort, and no destructor runs: what it started must not stay. One slot a process, as many as a fleet
+// can have; kill(2) may be called from a handler.
+namespace {
+volatile std::sig_atomic_t started[128];
+void endStarted(int) {
+  for (auto& pid : started)
+    if (pid > 0) ::kill(static_cast<pid_t>(pid), SIGKILL);
+}
+void noteStarted(pid_t pid) {
+  std::signal(SIGABRT, endStarted);
+  for (auto& slot : started)
+    if (slot == 0) return void(slot = pid);
+}
+void noteEnded(pid_t pid) {
+  for (auto& slot : started)
+    if (slot == pid) slot = 0;
+}
+void endProcess(pid_t& pid) {
+  if (pid <= 0) return;
+  ::kill(pid, SIGKILL);
+  ::waitpid(pid, nullptr, 0);
+  noteEnded(pid);
+  pid = 0;
+}
+}  // namespace
+
 // One client's connection, for one pull.
 struct Harness::Client final : loop::Connection::Owner {
   Harness& harness;
@@ -122,15 +149,10 @@
   loop_.cancel(asking_);
   for (auto& [pull, client] : clients_) loop_.cancel(client->timer);
   clients_.clear();
-  auto end = [](pid_t pid) {
-    if (pid <= 0) return;
-    ::kill(pid, SIGKILL);
-    ::waitpid(pid, nullptr, 0);
-  };
-  for (pid_t pid : pids_) end(pid);
-  for (pid_t pid : zonePids_) end(pid);
-  for (pid_t pid : placePids_) end(pid);
-  end(hub_);
+  for (pid_t& pid : pids_) endProcess(pid);
+  for (pid_t& pid : zonePids_) endProcess(pid);
+  for (pid_t& pid : placePids_) endProcess(pid);
+  endProcess(hub_);
 }
 
 std::string Harness::configuration(std::size_t i) const {
@@ -233,6 +255,7 @@
   int fault = ::posix_spawn(&pid, kept[0].c_str(), &actions, nullptr, args.data(), environ);
   ::posix_spawn_file_actions_destroy(&actions);
   if (fault != 0) throw std::runtime_error(kept[0] + " cannot be started");
+  noteStarted(pid);
   return pid;
 }
 
@@ -249,10 +272,7 @@
 }
 
 void Harness::kill(std::size_t i) {
-  if (pids_.at(i) <= 0) return;
-  ::kill(pids_[i], SIGKILL);
-  ::waitpid(pids_[i], nullptr, 0);
-  pids_[i] = 0;
+  endProcess(pids_.at(i));
   stopped_.erase(i);
 }
 void Harness::stop(std::size_t i) {
@@ -303,10 +323,8 @@
     for (std::size_t f = 0; f < fleet_.zoneOf.size(); ++f)
       for (std::size_t c = z * perZone; c < (z + 1) * perZone; ++c)
         relay_->toCache(f, c).cuts += on ? 1 : -1, relay_->fromCache(f, c).cuts += on ? 1 : -1;
-  } else if (on && zonePids_[z] > 0) {
-    ::kill(zonePids_[z], SIGKILL);
-    ::waitpid(zonePids_[z], nullptr, 0);
-    zonePids_[z] = 0;
+  } else if (on) {
+    endProcess(zonePids_[z]);
   } else if (!on && zonePids_[z] == 0) {
     startZone(z);
   }
