--- /dev/null
+++ b/src/drift/drift.hpp
@@ -0,0 +1,133 @@
+// Rules in step: whether what a front decides by in memory is what was approved, found by evidence in common, and what follows.
+// Pure: events and time in, actions out.
+//
+// Active rules are told by the parts that use them, section by section, in a canonical form (names sorted, numbers in
+// shortest exact form), not by the file a front was started with. Desired is the approved version in the record
+// (stream rules). A digest a section, and one of all, rides with the members' news (32 bits of it on each datagram, the whole on
+// Channel::rules); a difference is opened section by section down to the field.
+//
+// Verdicts: inStep; converging (within the approval's term); drifted (field, since when); unapproved (its version was never
+// approved); forked (the same version, other content); unknown (last seen so long ago). A verdict needs the same word in `steady` rounds
+// (hysteresis), and is in common: by what a quorum of fronts hold, or by the owner under its token where there is one.
+// Bound on how long a drift stays unseen: foundWithin(), as a function of the terms and the number of fronts.
+//
+// What follows: fields are classed by what they can break (a rule; capacity; nothing). Repair by the owner under its token: at most
+// `atOnce` fronts of a zone, never where its zone would fall below `leastServing`, stopped where abandoned or declined pulls rise after it
+// (by `alarm` above before). A front that drifts `often` times within `within` is set aside: it owns nothing, its word in verdicts does not
+// count, its share is the floor; it serves on unless the drift can break a rule.
+// Sources: Kubernetes' reconciling loops (desired and observed generation apart; act on what is). Bounds: one row a front, the last 16 changes.
+#pragma once
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace dunlinwick::drift {
+
+using Ms = double;
+using Id = std::uint32_t;
+using Token = std::uint64_t;
+using Version = std::uint64_t;  // the record's offset of the approval; 0: none
+
+enum class Breaks : std::uint8_t { nothing, capacity, rule };
+const char* word(Breaks breaks);
+
+// ---- canonical form
+using Section = std::map<std::string, std::string>;  // field to value, as text
+using Form = std::map<std::string, Section>;         // section to fields; at most 32 sections of 256 fields
+std::string canonical(const Section& section);
+std::uint64_t digest(const Section& section);  // xxHash64 of the canonical form
+std::uint64_t digest(const Form& form);
+std::string number(double value);              // shortest exact decimal
+
+struct Field { std::string section, name; };
+struct Difference { Field field; std::string active, approved; Breaks breaks = Breaks::nothing; };
+// Classes by "section.name" or "section.*"; what is not named breaks capacity.
+using Classes = std::map<std::string, Breaks>;
+std::vector<Difference> differences(const Form& active, const Form& approved, const Classes& classes);
+
+// ---- the approval, as it stands in the record (key: "fleet", "zone/NAME" or "front/ID": the narrowest holds)
+struct Approval {
+  std::string by, second;      // who approved; the second approver, where the settings ask for one
+  Version replaces = 0;        // compare and set: the version it was made over
+  Ms holdBy = 0;               // Unix time by when it must hold; until then a front that lacks it is converging
+  Form form;
+};
+std::string encode(const Approval& a);
+std::optional<Approval> decodeApproval(std::span<const char> bytes);
+// Why it can't be taken over `current`, or "" where it can.
+std::string refused(const Approval& a, Version current, bool wantsSecond);
+
+// ---- what fronts tell (Channel::rules)
+struct Told {  // each round to `fanout` fronts, all of it; news of others rides along
+  Version version = 0;         // that it believes approved
+  std::uint64_t active = 0, approved = 0;             // digests of all
+  std::map<std::string, std::uint64_t> sections;      // of what is active; only where asked
+  bool ask = false;                                   // the receiver is to open its difference to the sender
+  Form opened;                                        // of the sections that were asked for
+  double abandoned = 0, declined = 0;                 // shares of its pulls, lately: for the alarm
+  std::uint64_t seq = 0;
+  struct Other { Id who = 0; std::uint64_t seq = 0; Version version = 0; std::uint64_t active = 0; };
+  std::vector<Other> others;                          // at most 32
+};
+std::string encode(const Told& t);
+std::optional<Told> decodeTold(std::span<const char> bytes);
+
+enum class Standing : std::uint8_t { unknown, inStep, converging, drifted, unapproved, forked };
+const char* word(Standing standing);
+
+struct Terms {
+  std::size_t fronts = 1;
+  Ms round = 500;              // one word a round to `fanout` others
+  int fanout = 2, steady = 2;
+  Ms silent = 5000;            // not heard, by anybody, for so long: unknown
+  int atOnce = 1;              // repairs a zone at once
+  double leastServing = 0.5;   // of a zone's fronts that must be in step or serving meanwhile
+  Ms repairWithin = 5000, watchFor = 3000;
+  double alarm = 0.05;
+  int often = 3;
+  Ms within = 10 * 60 * 1000;
+};
+// From a change in a front's memory until every verdict in common names it, with no message lost; each lost round adds one round.
+Ms foundWithin(const Terms& terms);
+
+// ---- events and actions
+struct Active { Form form; };                                        // this front's own, each time it may have changed
+struct Approved { Version version = 0; std::optional<Approval> approval; };  // from the record, narrowest for this front
+struct ApprovedFor { Id front = 0; Version version = 0; std::uint64_t digest = 0; Ms holdBy = 0; };  // for each front: what is wanted of it
+struct Hears { Id from = 0; Told told; };
+struct Owns { Token token = 0; };                                    // 0: not this front
+struct Pulls { double abandoned = 0, declined = 0; };
+struct Tick {};
+using Event = std::variant<Active, Approved, ApprovedFor, Hears, Owns, Pulls, Tick>;
+
+struct Tell { Id to = 0; Told told; };
+struct Repair { Id front = 0; Token token = 0; Version version = 0; };   // the owner's word: take up the approved form now
+struct TakeUp { Version version = 0; Form form; };                       // at the front itself: what was approved, to be made active
+struct Found { Id front = 0; Standing standing = Standing::unknown; std::vector<Difference> fields; Ms since = 0; };  // log, view
+struct SetAside { Id front = 0; bool on = false; std::string why; };
+struct Stopped { std::string why; };                                     // repairs are stopped until an operator approves again
+using Action = std::variant<Tell, Repair, TakeUp, Found, SetAside, Stopped>;
+
+class Drift {
+ public:
+  Drift(Id self, std::map<Id, int> zoneOf, Classes classes, Terms terms, std::uint64_t seed, Ms now);
+  ~Drift();
+  std::vector<Action> handle(Ms now, const Event& event);
+  std::vector<Action> repairAsked(Ms now, Id from, const Repair& r);  // fenced by the highest token heard
+  struct Row { Standing standing = Standing::unknown; Ms since = 0, seenAt = -1; Version version = 0; std::vector<Difference> fields; bool aside = false; };
+  const std::map<Id, Row>& rows() const;
+  bool aside(Id front) const;
+  Ms wakeAt() const;
+
+ private:
+  struct Inner;
+  std::shared_ptr<Inner> inner_;
+};
+
+}  // namespace dunlinwick::drift
--- /dev/null
+++ b/src/record/subscribers.hpp
@@ -0,0 +1,83 @@
+// Late joiners and followers of the record: a subscriber reads the compacted record in offset order from any keeper, first what is
+// at or below the offset S that was committed when it began (its snapshot), then the tail; it holds a lease so that tombstones
+// wait for it. Pure: time and messages in, messages and facts out.
+//
+// What it promises: no gap (at each position the subscriber has, of each key, the latest at or below it, or a later one is on its
+// way), no double and no older value after a newer one, whatever is lost, late, doubled, compacted, resumed at another
+// keeper or written meanwhile. Each piece carries a digest and is asked again where it does not fit. One that was away past its lease
+// and is behind `forgotten` is told to start over (its state is void: a recalled object would come back to life), never silently
+// resumed. One too slow for `mostBehind` bytes under way is told so and bounded: it has one piece under way.
+// Bounds: `mostSubscribers` leases at the writer's front; one piece (pieceBytes) under way a subscriber.
+#pragma once
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <span>
+#include <variant>
+
+#include "record/log.hpp"
+
+namespace dunlinwick::record {
+
+struct SubscriberTerms {
+  Ms lease = 30000, askEvery = 200, again = 400;
+  std::size_t pieceBytes = 32 << 10, mostSubscribers = 1024;
+};
+
+struct Want {  // subscriber to keeper
+  std::uint64_t subscriber = 0, life = 0, number = 0;
+  Offset after = 0;       // has all up to and with it; 0: begins
+  std::uint32_t streams = 7;  // a bit a stream
+};
+struct Piece {
+  std::uint64_t number = 0;  // of the question
+  Offset after = 0, upTo = 0, committed = 0, snapshot = 0;  // snapshot: S, while a join reads up to it
+  bool startOver = false;
+  std::vector<Entry> entries;
+  std::uint64_t digest = 0;  // over all of the above
+};
+struct Lease {  // keeper to the writer's front, gathered: positions of its living subscribers
+  std::vector<std::pair<std::uint64_t, Offset>> positions;
+};
+using Saying = std::variant<Want, Piece, Lease>;
+std::string encode(const Saying& s);
+std::optional<Saying> decodeSaying(std::span<const char> bytes);
+
+// A keeper's side: answers from its own log; what it holds of leases is told to the writer by Lease.
+class Server {
+ public:
+  Server(Log& log, SubscriberTerms terms, Ms now);
+  std::optional<Piece> wants(Ms now, const Want& want);  // nothing: full of subscribers
+  Lease living(Ms now) const;
+  Offset passed(Ms now) const;  // least position of the living; the log's committed offset where there is none
+
+ private:
+  struct Inner;
+  std::shared_ptr<Inner> inner_;
+};
+
+// The subscriber's side.
+class Subscriber {
+ public:
+  struct Out {
+    std::function<void(Id keeper, const Want&)> ask;
+    std::function<void(const Entry&)> entry;     // in offset order, each once
+    std::function<void()> startOver;             // all that was told before is void
+  };
+  // `at`: resumes from what was kept (0: from nothing).
+  Subscriber(std::uint64_t self, std::uint64_t life, std::vector<Id> keepers, SubscriberTerms terms, Offset at, std::uint64_t seed, Ms now);
+  void tick(Ms now, const Out& out);
+  void receive(Ms now, Id from, const Piece& piece, const Out& out);
+  Offset position() const;
+  Offset committed() const;  // the highest told by a keeper
+  bool caughtUp() const;     // position >= what a keeper told as committed, in its last answer, and past the snapshot
+  Ms goodAt() const;         // when the question was asked whose answer last showed it caught up; < 0: never
+  std::uint64_t bytes() const;
+
+ private:
+  struct Inner;
+  std::shared_ptr<Inner> inner_;
+};
+
+}  // namespace dunlinwick::record
