The rigs stand in src/rig; the members' datagram stands with the members

Need: src/fleet held both what fronts speak and the rigs that test them, and owner held a checker; the operators' list of the front's folders so named a harness. Moved: wire to src/members (namespace members), all else of src/fleet and owner/history to src/rig (namespaces fleet and owner kept, so that tests read as before).

--- a/bench/members.cpp
+++ b/bench/members.cpp
@@ -1,5 +1,5 @@
 // Staged figures of membership and the verdict in common, in fleets of 5, 50 and 300 over three zones; emulated
-// (src/fleet/sim), no sockets. An argument names one size. For each size:
+// (src/rig/sim), no sockets. An argument names one size. For each size:
 // - a member killed at 10 s: when each other member takes it for dead;
 // - a whole zone's members killed at 10 s: when each other member keeps the verdict that leaves it;
 // - an hour's worth of 30% loss on every link, and of one member paused for 5 s every 20 s: members that took a living,
@@ -9,7 +9,7 @@
 #include <cstdlib>
 #include <vector>
 
-#include "fleet/sim.hpp"
+#include "rig/sim.hpp"
 
 using namespace dunlinwick;
 
--- a/bench/owner.cpp
+++ b/bench/owner.cpp
@@ -1,11 +1,11 @@
-// Staged figures of ownership, emulated (src/fleet/ownersim), no sockets: datagrams a second while nothing is owned, and while two
+// Staged figures of ownership, emulated (src/rig/ownersim), no sockets: datagrams a second while nothing is owned, and while two
 // works are; handover after the loss of the owner (killed, stopped, cut off; lease 3 s), by 200 seeds each, from its last effect
 // to the next owner's first.
 #include <algorithm>
 #include <cstdio>
 #include <vector>
 
-#include "fleet/ownersim.hpp"
+#include "rig/ownersim.hpp"
 
 using namespace dunlinwick;
 
--- a/src/ctl/fleet.cpp
+++ b/src/ctl/fleet.cpp
@@ -10,8 +10,8 @@
 #include <filesystem>
 #include <fstream>
 
-#include "fleet/harness.hpp"
-#include "fleet/staged.hpp"
+#include "rig/harness.hpp"
+#include "rig/staged.hpp"
 #include "schema/schema.hpp"
 
 namespace dunlinwick::ctl {
--- a/src/ctl/owner.cpp
+++ b/src/ctl/owner.cpp
@@ -6,7 +6,7 @@
 #include <map>
 
 #include "ctl/fleet.hpp"
-#include "fleet/harness.hpp"
+#include "rig/harness.hpp"
 
 namespace dunlinwick::ctl {
 
--- a/src/front/fleet.cpp
+++ b/src/front/fleet.cpp
@@ -7,7 +7,7 @@
 #include <stdexcept>
 
 #include "failover/living.hpp"
-#include "fleet/wire.hpp"
+#include "members/wire.hpp"
 #include "log/log.hpp"
 
 namespace dunlinwick::front {
@@ -75,7 +75,7 @@
   for (const members::Message& m : out)
     for (const FleetMember& to : terms_.members)
       if (to.id == m.to) {
-        std::string bytes = fleet::encode(m);
+        std::string bytes = members::encode(m);
         ++sent_;
         loop_.ground().sendTo(socket_.get(), bytes, to.at);  // lost where the system can't take it: as on a wire
       }
@@ -89,12 +89,12 @@
     ssize_t got = loop_.ground().receiveFrom(socket_.get(), buffer, from);
     if (got < 0) break;
     std::span<const char> bytes(buffer, static_cast<std::size_t>(got));
-    if (fleet::isViewRequest(bytes)) {
+    if (members::isViewRequest(bytes)) {
       std::string text = view();
       loop_.ground().sendTo(socket_.get(), text, from);
       continue;
     }
-    auto m = fleet::decode(bytes);
+    auto m = members::decode(bytes);
     if (!m) {
       ++refused_;  // a peer's bytes never throw, nor reach the log
       continue;
--- a/src/fleet/wire.cpp
+++ b/src/members/wire.cpp
@@ -1,8 +1,8 @@
-#include "fleet/wire.hpp"
+#include "members/wire.hpp"
 
 #include <cstring>
 
-namespace dunlinwick::fleet {
+namespace dunlinwick::members {
 
 namespace {
 constexpr char magic0 = 'D', magic1 = 'W', version = 1;
@@ -22,7 +22,7 @@
 };
 }  // namespace
 
-std::string encode(const members::Message& m) {
+std::string encode(const Message& m) {
   std::string s;
   s.reserve(head + mostInMessage * (newsSize + noteSize));
   s += magic0, s += magic1, s += version;
@@ -31,11 +31,11 @@
   put(s, m.from, 4), put(s, m.to, 4), put(s, m.seq, 4), put(s, m.target, 4);
   put(s, news, 1), put(s, notes, 1);
   for (std::size_t i = 0; i < news; ++i) {
-    const members::News& n = m.news[i];
+    const News& n = m.news[i];
     put(s, n.who, 4), put(s, n.incarnation, 4), put(s, static_cast<std::uint64_t>(n.state), 1), put(s, n.by, 4);
   }
   for (std::size_t i = 0; i < notes; ++i) {
-    const members::Note& n = m.notes[i];
+    const Note& n = m.notes[i];
     put(s, n.origin, 4), put(s, n.seq, 4), put(s, n.bits, 8);
   }
   return s;
@@ -45,33 +45,33 @@
   return bytes.size() == 3 && std::memcmp(bytes.data(), viewRequest, 3) == 0;
 }
 
-std::optional<members::Message> decode(std::span<const char> bytes) {
+std::optional<Message> decode(std::span<const char> bytes) {
   if (bytes.size() < head || bytes[0] != magic0 || bytes[1] != magic1 || bytes[2] != version) return std::nullopt;
   Reader r{bytes, 3};
-  members::Message m;
+  Message m;
   std::uint64_t kind = r.get(1);
-  if (kind > static_cast<std::uint64_t>(members::Kind::nack)) return std::nullopt;
-  m.kind = static_cast<members::Kind>(kind);
-  m.from = static_cast<members::Id>(r.get(4)), m.to = static_cast<members::Id>(r.get(4));
-  m.seq = static_cast<std::uint32_t>(r.get(4)), m.target = static_cast<members::Id>(r.get(4));
+  if (kind > static_cast<std::uint64_t>(Kind::nack)) return std::nullopt;
+  m.kind = static_cast<Kind>(kind);
+  m.from = static_cast<Id>(r.get(4)), m.to = static_cast<Id>(r.get(4));
+  m.seq = static_cast<std::uint32_t>(r.get(4)), m.target = static_cast<Id>(r.get(4));
   std::size_t news = r.get(1), notes = r.get(1);
   if (news > mostInMessage || notes > mostInMessage || bytes.size() != head + news * newsSize + notes * noteSize)
     return std::nullopt;
   for (std::size_t i = 0; i < news; ++i) {
-    members::News n;
-    n.who = static_cast<members::Id>(r.get(4)), n.incarnation = static_cast<std::uint32_t>(r.get(4));
+    News n;
+    n.who = static_cast<Id>(r.get(4)), n.incarnation = static_cast<std::uint32_t>(r.get(4));
     std::uint64_t state = r.get(1);
-    if (state > static_cast<std::uint64_t>(members::State::dead)) return std::nullopt;
-    n.state = static_cast<members::State>(state), n.by = static_cast<members::Id>(r.get(4));
+    if (state > static_cast<std::uint64_t>(State::dead)) return std::nullopt;
+    n.state = static_cast<State>(state), n.by = static_cast<Id>(r.get(4));
     m.news.push_back(n);
   }
   for (std::size_t i = 0; i < notes; ++i) {
-    members::Note n;
-    n.origin = static_cast<members::Id>(r.get(4)), n.seq = static_cast<std::uint32_t>(r.get(4));
+    Note n;
+    n.origin = static_cast<Id>(r.get(4)), n.seq = static_cast<std::uint32_t>(r.get(4));
     n.bits = r.get(8);
     m.notes.push_back(n);
   }
   return m;
 }
 
-}  // namespace dunlinwick::fleet
+}  // namespace dunlinwick::members
--- a/src/fleet/wire.hpp
+++ b/src/members/wire.hpp
@@ -13,12 +13,12 @@
 
 #include "members/swim.hpp"
 
-namespace dunlinwick::fleet {
+namespace dunlinwick::members {
 
 constexpr std::size_t mostInMessage = 32;  // news, and notes, in one message; 949 bytes at most in all
-std::string encode(const members::Message& m);
-std::optional<members::Message> decode(std::span<const char> bytes);
+std::string encode(const Message& m);
+std::optional<Message> decode(std::span<const char> bytes);
 bool isViewRequest(std::span<const char> bytes);
 inline constexpr char viewRequest[] = "DW?";
 
-}  // namespace dunlinwick::fleet
+}  // namespace dunlinwick::members
--- a/src/fleet/harness.cpp
+++ b/src/rig/harness.cpp
@@ -1,4 +1,4 @@
-#include "fleet/harness.hpp"
+#include "rig/harness.hpp"
 
 #include <arpa/inet.h>
 #include <fcntl.h>
--- a/src/fleet/harness.hpp
+++ b/src/rig/harness.hpp
@@ -1,4 +1,4 @@
-// Many processes of the front on loopback, with toy caches for each zone, a fault relay (src/fleet/relay.hpp) on every
+// Many processes of the front on loopback, with toy caches for each zone, a fault relay (src/rig/relay.hpp) on every
 // link, and clients that ask. It starts and ends each process by its id; what it does to them: kill -9, SIGSTOP, SIGCONT,
 // restart under the same address. Tools and tests only: it starts processes.
 //
@@ -15,9 +15,9 @@
 #include <string>
 #include <vector>
 
-#include "fleet/judge.hpp"
-#include "fleet/relay.hpp"
-#include "fleet/script.hpp"
+#include "rig/judge.hpp"
+#include "rig/relay.hpp"
+#include "rig/script.hpp"
 #include "json/json.hpp"
 #include "loop/loop.hpp"
 
--- a/src/owner/history.cpp
+++ b/src/rig/history.cpp
@@ -1,4 +1,4 @@
-#include "owner/history.hpp"
+#include "rig/history.hpp"
 
 #include <algorithm>
 #include <cmath>
--- a/src/fleet/judge.cpp
+++ b/src/rig/judge.cpp
@@ -1,4 +1,4 @@
-#include "fleet/judge.hpp"
+#include "rig/judge.hpp"
 
 #include <algorithm>
 #include <cmath>
--- a/src/fleet/judge.hpp
+++ b/src/rig/judge.hpp
@@ -19,7 +19,7 @@
 #include <string>
 #include <vector>
 
-#include "fleet/script.hpp"
+#include "rig/script.hpp"
 
 namespace dunlinwick::fleet {
 
--- a/src/fleet/ownersim.cpp
+++ b/src/rig/ownersim.cpp
@@ -1,4 +1,4 @@
-#include "fleet/ownersim.hpp"
+#include "rig/ownersim.hpp"
 
 #include <algorithm>
 #include <cstdio>
--- a/src/fleet/ownersim.hpp
+++ b/src/rig/ownersim.hpp
@@ -8,7 +8,7 @@
 #include <queue>
 #include <random>
 
-#include "owner/history.hpp"
+#include "rig/history.hpp"
 #include "owner/node.hpp"
 
 namespace dunlinwick::fleet {
--- a/src/fleet/relay.cpp
+++ b/src/rig/relay.cpp
@@ -1,4 +1,4 @@
-#include "fleet/relay.hpp"
+#include "rig/relay.hpp"
 
 #include <arpa/inet.h>
 #include <poll.h>
--- a/src/fleet/script.cpp
+++ b/src/rig/script.cpp
@@ -1,4 +1,4 @@
-#include "fleet/script.hpp"
+#include "rig/script.hpp"
 
 #include <algorithm>
 #include <array>
--- a/src/fleet/script.hpp
+++ b/src/rig/script.hpp
@@ -1,5 +1,5 @@
 // A fleet and what goes wrong in it, on cue: the files that `dunlinctl fleet` reads. One script of faults drives real
-// processes with the relay (src/fleet/harness.hpp) and the staged members (src/fleet/sim.hpp) alike.
+// processes with the relay (src/rig/harness.hpp) and the staged members (src/rig/sim.hpp) alike.
 //
 // JSON with comments; refused whole with file, line, field and reason. Times in the files are seconds.
 #pragma once
--- a/src/fleet/sim.cpp
+++ b/src/rig/sim.cpp
@@ -1,7 +1,7 @@
-#include "fleet/sim.hpp"
+#include "rig/sim.hpp"
 
 #include "failover/living.hpp"
-#include "fleet/wire.hpp"
+#include "members/wire.hpp"
 
 #include <algorithm>
 #include <utility>
--- a/src/fleet/sim.hpp
+++ b/src/rig/sim.hpp
@@ -118,7 +118,7 @@
   std::vector<Judged> judged_;
 };
 
-// Bytes of a message on the wire (src/fleet/wire.hpp) with UDP and IP headers, for the figures.
+// Bytes of a message on the wire (src/members/wire.hpp) with UDP and IP headers, for the figures.
 std::size_t wireSize(const members::Message& m);
 
 }  // namespace dunlinwick::fleet
--- a/src/fleet/staged.cpp
+++ b/src/rig/staged.cpp
@@ -1,4 +1,4 @@
-#include "fleet/staged.hpp"
+#include "rig/staged.hpp"
 
 #include <algorithm>
 
--- a/src/fleet/staged.hpp
+++ b/src/rig/staged.hpp
@@ -1,8 +1,8 @@
-// A script of faults on the staged members (src/fleet/sim.hpp) in place of processes: the same script, the same checker,
+// A script of faults on the staged members (src/rig/sim.hpp) in place of processes: the same script, the same checker,
 // virtual time, one seed. There are no caches and no pulls there: lost caches are what the zone's fronts hold of them.
 #pragma once
-#include "fleet/judge.hpp"
-#include "fleet/sim.hpp"
+#include "rig/judge.hpp"
+#include "rig/sim.hpp"
 
 namespace dunlinwick::fleet {
 
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -10,7 +10,7 @@
 #include <filesystem>
 #include <functional>
 
-#include "fleet/harness.hpp"
+#include "rig/harness.hpp"
 
 using namespace dunlinwick;
 using fleet::Cue;
--- a/tests/judge_test.cpp
+++ b/tests/judge_test.cpp
@@ -5,7 +5,7 @@
 #include <functional>
 
 #include "failover/health.hpp"
-#include "fleet/staged.hpp"
+#include "rig/staged.hpp"
 #include "schema/schema.hpp"
 
 using namespace dunlinwick;
--- a/tests/members_test.cpp
+++ b/tests/members_test.cpp
@@ -7,8 +7,8 @@
 #include <cstdlib>
 #include <functional>
 
-#include "fleet/sim.hpp"
-#include "fleet/wire.hpp"
+#include "rig/sim.hpp"
+#include "members/wire.hpp"
 
 using namespace dunlinwick;
 using members::State;
@@ -21,25 +21,25 @@
   m.kind = members::Kind::askPing, m.from = 3, m.to = 9, m.seq = 77, m.target = 4;
   m.news = {{4, 12, State::suspect, 3}, {3, 100, State::alive, 3}};
   m.notes = {{3, 5, 0xfeedface12345678}};
-  std::string bytes = fleet::encode(m);
-  auto back = fleet::decode(bytes);
+  std::string bytes = members::encode(m);
+  auto back = members::decode(bytes);
   assert(back && back->kind == m.kind && back->from == 3 && back->to == 9 && back->seq == 77 && back->target == 4);
   assert(back->news.size() == 2 && back->news[0].state == State::suspect && back->news[0].incarnation == 12);
   assert(back->notes.size() == 1 && back->notes[0].bits == 0xfeedface12345678);
   // Whatever a peer sends: short, long, a wrong kind or state, counts past the bound. None throws.
-  for (std::size_t cut = 0; cut < bytes.size(); ++cut) assert(!fleet::decode({bytes.data(), cut}));
+  for (std::size_t cut = 0; cut < bytes.size(); ++cut) assert(!members::decode({bytes.data(), cut}));
   std::string longer = bytes + "x";
-  assert(!fleet::decode(longer));
+  assert(!members::decode(longer));
   std::string kind = bytes;
   kind[3] = 9;
-  assert(!fleet::decode(kind));
+  assert(!members::decode(kind));
   std::string state = bytes;
   state[22 + 8] = 7;
-  assert(!fleet::decode(state));
+  assert(!members::decode(state));
   std::string many = bytes;
   many[20] = 33;
-  assert(!fleet::decode(many));
-  assert(fleet::isViewRequest(std::string_view(fleet::viewRequest)) && !fleet::isViewRequest(bytes));
+  assert(!members::decode(many));
+  assert(members::isViewRequest(std::string_view(members::viewRequest)) && !members::isViewRequest(bytes));
 }
 
 // A model check of the merge: for every order in which one member hears the same pieces of news about another
--- a/tests/owner_fleet_test.cpp
+++ b/tests/owner_fleet_test.cpp
@@ -10,8 +10,8 @@
 #include <fstream>
 #include <functional>
 
-#include "fleet/harness.hpp"
-#include "owner/history.hpp"
+#include "rig/harness.hpp"
+#include "rig/history.hpp"
 
 using namespace dunlinwick;
 using owner::Happened;
--- a/tests/owner_test.cpp
+++ b/tests/owner_test.cpp
@@ -6,7 +6,7 @@
 
 #include <set>
 
-#include "fleet/ownersim.hpp"
+#include "rig/ownersim.hpp"
 #include "owner/bytes.hpp"
 
 using namespace dunlinwick;
