Peers: channels between fronts on one socket, with budgets, pieces and a digest

Members, owner and what is to come each need datagrams to the other fronts; a socket each costs a port and lets bulk of one stand in the way of another's probes. Pure part: typed channels, a token bucket each, served members first; larger messages in pieces that the receiver names by bitmap, delivered once, whole, digest checked; version word; a check over each datagram; bounds on all.

Six broken variants are caught by the checks that they break. Found on the way: a wake-up counted from the last event never came while events did.

--- a/src/peers/peers.hpp
+++ b/src/peers/peers.hpp
@@ -2,24 +2,32 @@
 // lease. Pure: time and bytes in, datagrams and messages out; the caller carries them (src/front/peers.* on sockets,
 // rigs in virtual time).
 //
-// Datagram: 'D' 'P' | version u8 | channel u8 | from u32 | kind u8 | body. Little-endian. An older or newer front is told
-// apart by the version and never misread: it is counted (`otherVersion`) and dropped.
-// - A message that fits `mostInDatagram` goes as one datagram (kind whole), at once while its channel's budget bears it, else in
-//   the channel's queue. Small messages are not acknowledged: their protocols bear loss, doubles and disorder.
-// - A larger one (Channel::record, rules only) goes in pieces with an id, a count and a digest (xxHash64) of the whole;
-//   the receiver names what it has (bitmap), the sender sends what lacks, resumes after losses, and gives up after
-//   `giveUp`. It is delivered once, whole, digest checked, or not at all.
+// Datagram: 'D' 'P' | version u8 | channel u8 | from u32 | kind u8 | check u32 | body. Little-endian. The check is the low
+// half of the xxHash64 of all the rest. An older or newer front is told apart by the version and never misread: it is
+// counted (`otherVersion`) and dropped; the first eight bytes mean the same in every version.
+// - A message that fits `mostInDatagram` goes as one datagram (kind whole), at once while its channel's budget bears it,
+//   else in the channel's queue. Small messages are not acknowledged: their protocols bear loss, doubles and disorder.
+// - A larger one (not on members and quota) goes in pieces with an id, a size and a digest (xxHash64) of the whole; the
+//   receiver names what it has (bitmap), the sender sends what lacks, resumes after losses, and gives up once nothing new
+//   was named for `giveUp`. It is delivered once, whole, digest checked, or not at all. One at a time for each peer and
+//   channel, in the order sent, so that what was had before is known by one number; at most `mostInFlight` pieces are
+//   unanswered, so that a socket's buffer bears a burst.
 // - Order of service in tick(): by channel, members first, as in the enumeration; a channel over its budget waits, the
-//   others do not wait for it.
-// - A peer's new life (higher incarnation, carried by pieces) drops what was half done with the old one.
-// Bounds: queue a channel `mostQueued` bytes (oldest whole message dropped, counted); half-received messages: `mostPartial`
-// a peer, `mostMessage` bytes each, dropped after `giveUp`. Junk is counted (`junk`) and dropped; nothing here throws.
+//   others do not wait for it. Within a channel peers are served in turn, and small messages before pieces.
+// - A sender's new life (higher incarnation, carried by pieces) drops what was half done with the old one; a receiver's new
+//   life (carried by its bitmaps) is sent everything again. A front's incarnation must be higher at each start.
+// Bounds: queue a peer and channel `mostQueued` bytes of small messages (oldest dropped, counted); large ones that wait or
+// are under way: `mostMessage` bytes a peer and channel, `mostHeld` in all, more are refused; half-received messages: one a
+// peer and channel, `mostPartial` a peer, `mostMessage` bytes each, `mostHeld` in all, dropped after `giveUp` without a new
+// piece; `mostPeers` peers. Junk is counted (`junk`) and dropped; nothing here throws.
+// Sources: token buckets and the order of classes as in RFC 2475; selective acknowledgement as in RFC 2018.
 #pragma once
 #include <array>
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <span>
 #include <string>
 
@@ -28,41 +36,68 @@
 using Ms = double;
 using Id = std::uint32_t;  // a front's number in the fleet; 0 is nobody
 constexpr std::uint8_t version = 1;
-constexpr std::size_t mostInDatagram = 1200;
+constexpr std::size_t mostInDatagram = 1200;  // of a message; a datagram is `header` longer
+constexpr std::size_t header = 13;
 
 // In order of service. Values are on the wire: never renumbered.
 enum class Channel : std::uint8_t { members = 0, owner = 1, quota = 2, recovery = 3, rules = 4, record = 5 };
 constexpr std::size_t channels = 6;
 const char* word(Channel channel);
+bool bearsLarge(Channel channel);
 
 struct Budget {
   double bytesPerS = 0;  // 0: no limit
   double burst = 0;      // bytes that may be saved up
 };
 struct Terms {
-  std::array<Budget, channels> budgets{{{0, 0}, {0, 0}, {64e3, 64e3}, {128e3, 128e3}, {128e3, 128e3}, {2e6, 512e3}}};
-  std::size_t mostQueued = 1 << 20, mostPartial = 4, mostMessage = 4 << 20;
-  Ms again = 200;       // pieces that were not named as had are sent again
+  std::array<Budget, channels> budgets{{{0, 0}, {0, 0}, {64e3, 64e3}, {128e3, 128e3}, {128e3, 128e3}, {2e6, 128e3}}};
+  std::size_t mostQueued = 1 << 20, mostPartial = 4, mostMessage = 4 << 20, mostHeld = 16 << 20, mostPeers = 128;
+  std::size_t mostInFlight = 128;  // pieces
+  Ms again = 200;                  // pieces that were not named as had are sent again
+  Ms answerWithin = 30;            // what came is named no later than this
   Ms giveUp = 10000;
 };
 struct Counters {
   std::uint64_t sent = 0, received = 0, junk = 0, otherVersion = 0, dropped = 0, delivered = 0, givenUp = 0;
+  std::uint64_t sentBytes = 0, sentAgain = 0;  // pieces that were sent more than once
 };
 
+// Whoever carries datagrams for fronts looks at this much: who says it, in what version. Nothing: not of ours.
+struct Head {
+  std::uint8_t version = 0;
+  Id from = 0;
+};
+std::optional<Head> head(std::span<const char> datagram);
+
 class Peers {
  public:
+  // Neither may call back into tick() or receive(); Deliver may call send().
   using Wire = std::function<void(Id to, std::string datagram)>;
   using Deliver = std::function<void(Id from, Channel channel, std::span<const char> message)>;
   Peers(Id self, Terms terms, std::uint32_t incarnation, Ms now, Wire wire, Deliver deliver);
   ~Peers();
-  // False: too large, or `to` has as much queued as may be; nothing was sent. Large ones are for channels rules and record.
+  Peers(const Peers&) = delete;
+  Peers& operator=(const Peers&) = delete;
+  // False: too large, to nobody or oneself, or `to` has as much queued as may be; nothing was sent.
   bool send(Ms now, Id to, Channel channel, std::string message);
   void receive(Ms now, std::span<const char> datagram);  // of anybody; `from` is the datagram's word
-  void tick(Ms now);                                     // every 20 ms or so while wanted() says so
-  Ms wakeAt() const;
+  void tick(Ms now);                                     // every 20 ms or so while wakeAt() says so
+  Ms wakeAt() const;                                     // 1e300: nothing is under way
   const Counters& counters(Channel channel) const;
-  std::uint64_t junk() const;
+  std::uint64_t junk() const;  // what could not be told to be of any channel
   std::map<Id, std::uint8_t> others() const;  // peers heard of with another version; at most 64
+  std::size_t held() const;                   // bytes of messages that wait, are under way or half received
+
+  // What a test breaks on purpose; all false in service.
+  struct Breaks {
+    bool bulkFirst = false;   // serves the last channel first, and nothing at once
+    bool noDigest = false;    // delivers whatever pieces made
+    bool noVersion = false;   // reads every version as its own
+    bool noCheck = false;     // takes datagrams as they come
+    bool noResume = false;    // sends each piece once
+    bool oldLife = false;     // mixes what an earlier life of a peer sent or had with the present one
+  };
+  Breaks breaks;
 
  private:
   struct Inner;
--- /dev/null
+++ b/src/peers/wire.hpp
@@ -0,0 +1,51 @@
+// The bytes of a datagram between fronts: frames, pieces of large messages, and what of them was had. Pure; nothing throws, and
+// what is not whole is nothing.
+#pragma once
+#include <optional>
+#include <span>
+#include <string>
+#include <vector>
+
+#include "peers/peers.hpp"
+
+namespace dunlinwick::peers {
+
+enum class Kind : std::uint8_t { whole = 0, piece = 1, had = 2 };
+
+struct Frame {
+  Channel channel = Channel::members;
+  Id from = 0;
+  Kind kind = Kind::whole;
+  std::span<const char> body;
+};
+// Of this version, whatever the bytes' version says: head() tells that.
+std::optional<Frame> frame(std::span<const char> datagram, bool checked = true);
+std::string encode(Channel channel, Id from, Kind kind, std::span<const char> body);
+void seal(std::string& datagram);  // writes its check anew; at least `header` long
+
+struct Piece {
+  std::uint32_t incarnation = 0;  // of the sender
+  std::uint32_t message = 0;      // numbers of a sender's life, by receiver and channel; from 1
+  std::uint32_t size = 0;         // of the whole
+  std::uint32_t index = 0;
+  std::uint64_t digest = 0;       // of the whole
+  std::span<const char> bytes;
+};
+constexpr std::size_t pieceHead = 24, pieceBytes = mostInDatagram - pieceHead;
+constexpr std::size_t pieces(std::size_t size) { return (size + pieceBytes - 1) / pieceBytes; }
+std::string encode(Channel channel, Id from, const Piece& piece);
+std::optional<Piece> piece(std::span<const char> body);  // its bytes fit its index and size
+
+struct Had {
+  std::uint32_t incarnation = 0;  // of the sender of the message
+  std::uint32_t message = 0;
+  // Of the receiver: its own incarnation, then how often it began anew. A bitmap with a higher one stands in for all before it.
+  std::uint64_t life = 0;
+  std::vector<bool> pieces;  // empty: it has been delivered
+};
+std::string encode(Channel channel, Id from, const Had& had);
+std::optional<Had> had(std::span<const char> body);
+
+std::uint64_t digest(std::span<const char> bytes);
+
+}  // namespace dunlinwick::peers
