One socket a front: members and owner run over the peers' channels where a peers block is there

Each part of the fleet layer bound a socket of its own. A front with a peers block has one for all: parts (src/front/part.hpp) are handed what comes on their channel and woken by one timer; a block that says listen keeps its own socket, as before. Places of the owner stay with datagrams of their own, which may now be a place's word alone. A build without the parts refuses the block (parts_none.cpp, which takes the place of owner_none.cpp).

--- a/src/front/charter.cpp
+++ b/src/front/charter.cpp
@@ -1,7 +1,5 @@
 #include "front/charter.hpp"
 
-#include "front/owner.hpp"
-
 #include <algorithm>
 #include <charconv>
 #include <fstream>
@@ -25,9 +23,10 @@
 }
 
 // Refused whole, with the field and the reason.
-static FleetTerms readFleet(const Value& f, const std::vector<std::string>& platform, int ownZone) {
+static FleetTerms readFleet(const Value& f, const PeersTerms& peers, const std::vector<std::string>& platform, int ownZone) {
   FleetTerms t;
   t.on = true;
+  t.overPeers = peers.on && !f.find("listen");
   auto fault = [](const std::string& where, const std::string& why) {
     return std::runtime_error("fleet." + where + ": " + why);
   };
@@ -71,9 +70,14 @@
     } catch (const std::runtime_error&) {
       throw fault(where + ".id", "a whole number wanted");
     }
-    auto at = loop::readAddress(m.word("at"));
-    if (!at) throw fault(where + ".at", "an address such as 127.0.0.10:7400 wanted");
-    one.at = *at;
+    if (t.overPeers) {
+      if (!peers.at.count(one.id)) throw fault(where + ".id", "not among peers.members, over whose socket the fleet runs");
+      if (m.find("at")) throw fault(where + ".at", "goes with a listen of the fleet's own; peers.members says where each is");
+    } else {
+      auto at = loop::readAddress(m.word("at"));
+      if (!at) throw fault(where + ".at", "an address such as 127.0.0.10:7400 wanted");
+      one.at = *at;
+    }
     auto z = std::find(t.zones.begin(), t.zones.end(), m.word("zone"));
     if (z == t.zones.end()) throw fault(where + ".zone", "not among zones");
     one.zone = static_cast<int>(z - t.zones.begin());
@@ -83,9 +87,10 @@
     t.members.push_back(one);
   }
   if (!self) throw fault("self", "not among members");
+  if (t.overPeers && t.self != peers.self) throw fault("self", "another than peers.self, over whose socket the fleet runs");
   auto listen = loop::readAddress(f.word("listen"));
-  if (!listen) throw fault("listen", "an address such as 127.0.0.10:7400 wanted");
-  t.listen = *listen;
+  if (!listen && !t.overPeers) throw fault("listen", "an address such as 127.0.0.10:7400 wanted");
+  if (listen) t.listen = *listen;
   ms("period_ms", t.swim.period, 50, 60000);
   ms("probe_timeout_ms", t.swim.probeTimeout, 10, 60000);
   ms("hold_back_ms", t.verdict.holdBack, 0, 600000);
@@ -111,11 +116,12 @@
   return t;
 }
 
-static OwnerTerms readOwner(const Value& o) {
+static OwnerTerms readOwner(const Value& o, const PeersTerms& peers) {
   OwnerTerms t;
   t.on = true;
+  t.overPeers = peers.on && !o.find("listen");
   auto fault = [](const std::string& where, const std::string& why) { return std::runtime_error("owner." + where + ": " + why); };
-  if (!ownerBuilt()) throw std::runtime_error("owner: this build has no libraft; build with -DDUNLINWICK_OWNER=ON");
+  if (!partsBuilt()) throw std::runtime_error("owner: this build has no libraft; build with -DDUNLINWICK_OWNER=ON");
   auto whole = [&](const Value& in, const std::string& where, const char* name, double least, double most) {
     const Value* v = in.find(name, Kind::number);
     double n = v ? v->asNumber() : -1;
@@ -128,18 +134,28 @@
     if (o.find(name)) into = whole(o, "", name, least, most);
   };
   t.self = static_cast<std::uint32_t>(whole(o, "", "self", 1, 1e9));
+  if (t.overPeers && t.self != peers.self) throw fault("self", "another than peers.self, over whose socket the owner runs");
   auto listen = loop::readAddress(o.word("listen"));
-  if (!listen) throw fault("listen", "an address such as 127.0.0.10:7600 wanted");
-  t.listen = *listen;
+  if (!listen && !t.overPeers) throw fault("listen", "an address such as 127.0.0.10:7600 wanted");
+  if (listen) t.listen = *listen;
+  std::vector<std::uint32_t> known;
   for (const char* list : {"members", "places"}) {
     const Value* all = o.find(list, Kind::list);
     if (!all || all->items.empty() || all->items.size() > 1000) throw fault(list, "1 to 1000 wanted, each with id and at");
     for (std::size_t i = 0; i < all->items.size(); ++i) {
       std::string where = std::string(list) + "[" + std::to_string(i) + "].";
       auto id = static_cast<std::uint32_t>(whole(all->items[i], where, "id", 1, 1e9));
+      if (std::find(known.begin(), known.end(), id) != known.end()) throw fault(where + "id", "given twice");
+      known.push_back(id);
+      if (t.overPeers && list == std::string("members")) {
+        if (!peers.at.count(id)) throw fault(where + "id", "not among peers.members, over whose socket the owner runs");
+        if (all->items[i].find("at")) throw fault(where + "at", "goes with a listen of the owner's own; peers.members says where each is");
+        continue;
+      }
+      if (t.overPeers && peers.at.count(id)) throw fault(where + "id", "is a peer's");
       auto at = loop::readAddress(all->items[i].word("at"));
       if (!at) throw fault(where + "at", "an address such as 127.0.0.10:7600 wanted");
-      if (!t.at.emplace(id, *at).second) throw fault(where + "id", "given twice");
+      t.at.emplace(id, *at);
     }
   }
   auto among = [](const Value* list, double id) {
@@ -221,13 +237,17 @@
   // The protocol: clients hold at most a third of the descriptor limit, and one request on each.
   int third = static_cast<int>(c.descriptors / 3);
   c.sheet.places = c.sheet.places > 0 ? std::min(c.sheet.places, third) : third;
+  if (const Value* peers = all->find("peers")) {
+    if (peers->kind != Kind::object) throw std::runtime_error("peers: an object wanted");
+    c.peers = readPeers(*peers);
+  }
   if (const Value* fleet = all->find("fleet")) {
     if (fleet->kind != Kind::object) throw std::runtime_error("fleet: an object wanted");
-    c.fleet = readFleet(*fleet, c.terms.zones, c.sheet.zone);
+    c.fleet = readFleet(*fleet, c.peers, c.terms.zones, c.sheet.zone);
   }
   if (const Value* owner = all->find("owner")) {
     if (owner->kind != Kind::object) throw std::runtime_error("owner: an object wanted");
-    c.owner = readOwner(*owner);
+    c.owner = readOwner(*owner, c.peers);
   }
   return c;
 }
--- a/src/front/charter.hpp
+++ b/src/front/charter.hpp
@@ -7,6 +7,7 @@
 #include "failover/verdict.hpp"
 #include "members/swim.hpp"
 #include "owner/group.hpp"
+#include "peers/peers.hpp"
 
 #include "json/json.hpp"
 #include "loop/connection.hpp"
@@ -14,15 +15,24 @@
 
 namespace dunlinwick::front {
 
+// The peers block: one UDP socket for what fronts tell each other (src/peers/, src/front/peers.hpp). Off where the configuration
+// has none. Fleet and owner blocks without a `listen` of their own run over it, by its ids.
+struct PeersTerms {
+  bool on = false;
+  std::uint32_t self = 0;
+  loop::Address listen{};
+  std::map<std::uint32_t, loop::Address> at;  // self among them
+};
+
 // The fleet block: membership and the verdict in common among fronts (src/members/, src/failover/). Off where
-// the configuration has none. It opens one UDP socket, `listen`.
+// the configuration has none. It opens one UDP socket, `listen`, or runs over the peers' one.
 struct FleetMember {
   std::uint32_t id = 0;
-  loop::Address at{};  // where this front sends to reach it
+  loop::Address at{};  // where this front sends to reach it; over peers: unset
   int zone = 0;
 };
 struct FleetTerms {
-  bool on = false;
+  bool on = false, overPeers = false;
   std::uint32_t self = 0;
   loop::Address listen{};
   std::vector<FleetMember> members;  // self among them
@@ -44,10 +54,10 @@
     double each = 50;
     std::vector<std::uint32_t> places;
   };
-  bool on = false;
+  bool on = false, overPeers = false;
   std::uint32_t self = 0;
   loop::Address listen{};
-  std::map<std::uint32_t, loop::Address> at;  // fronts and places, by id
+  std::map<std::uint32_t, loop::Address> at;  // fronts and places, by id; over peers: places
   std::vector<std::uint32_t> group;
   std::string store;  // "": in memory
   owner::Terms lease;
@@ -64,10 +74,15 @@
   json::Value known;  // the notice board's events up to now
   StoreSheet sheet;
   sheet::RoadTerms terms;
+  PeersTerms peers;
   FleetTerms fleet;
   OwnerTerms owner;
 };
 
+// Whether this build has the peers' socket and ownership; else their blocks are refused.
+bool partsBuilt();
+PeersTerms readPeers(const json::Value& block);  // throws, as below
+
 // Throws std::runtime_error with one line that says what is wrong. `listen`: in place of the file's, if
 // given.
 Charter readCharter(const std::string& path, const std::string& listen);
--- a/src/front/fleet.cpp
+++ b/src/front/fleet.cpp
@@ -36,15 +36,17 @@
 }  // namespace
 
 // The start's incarnation is the clock in seconds: a front restarted under the same id is newer than it was.
-Fleet::Fleet(loop::Loop& loop, const FleetTerms& terms, std::uint64_t seed, failover::Health& health, Steer steer)
+Fleet::Fleet(loop::Loop& loop, const FleetTerms& terms, std::uint64_t seed, failover::Health& health, Steer steer,
+             Carrier* peers)
     : loop_(loop),
       terms_(terms),
-      socket_(loop.ground(), opened(loop, terms)),
+      peers_(peers),
+      socket_(peers ? loop::Descriptor() : loop::Descriptor(loop.ground(), opened(loop, terms))),
       swim_(terms.self, others(terms), static_cast<std::uint32_t>(loop.now() / 1000), terms.swim, seed, loop.now()),
       verdicts_(terms.self, places(terms), terms.zoneRegion, terms.verdict),
       health_(health),
       steer_(std::move(steer)) {
-  loop_.watch(socket_.get(), *this, POLLIN);
+  if (!peers_) loop_.watch(socket_.get(), *this, POLLIN);
   log::say("fleet member %u of %zu, zone %s, quorum %d", terms_.self, terms_.members.size(),
            terms_.zones[static_cast<std::size_t>(places(terms_).at(terms_.self).zone)].c_str(), verdicts_.quorum());
   settle();
@@ -53,14 +55,20 @@
 
 Fleet::~Fleet() {
   loop_.cancel(timer_);
-  loop_.forget(socket_.get());
+  if (!peers_) loop_.forget(socket_.get());
 }
 
-void Fleet::arm() {
+Ms Fleet::wakeAt() const {
   // Looked at least this often, so that the hysteresis of the verdict ends on time without messages.
   constexpr loop::Ms longest = 100;
+  return std::min(swim_.wakeAt(), lookedAt_ + longest);
+}
+
+void Fleet::arm() {
+  lookedAt_ = loop_.now();
+  if (peers_) return;  // it asks wakeAt()
   loop_.cancel(timer_);
-  timer_ = loop_.at(std::min(swim_.wakeAt(), loop_.now() + longest), [this] { wake(); });
+  timer_ = loop_.at(wakeAt(), [this] { wake(); });
 }
 
 void Fleet::wake() {
@@ -77,7 +85,8 @@
       if (to.id == m.to) {
         std::string bytes = members::encode(m);
         ++sent_;
-        loop_.ground().sendTo(socket_.get(), bytes, to.at);  // lost where the system can't take it: as on a wire
+        if (peers_) peers_->send(peers::Channel::members, to.id, std::move(bytes));
+        else loop_.ground().sendTo(socket_.get(), bytes, to.at);  // lost where the system can't take it: as on a wire
       }
 }
 
@@ -99,15 +108,27 @@
       ++refused_;  // a peer's bytes never throw, nor reach the log
       continue;
     }
-    ++received_;
-    std::vector<members::Message> out;
-    swim_.receive(loop_.now(), *m, out);
-    send(out);
+    take(*m);
   }
   settle();
   arm();
 }
 
+void Fleet::take(const members::Message& m) {
+  ++received_;
+  std::vector<members::Message> out;
+  swim_.receive(loop_.now(), m, out);
+  send(out);
+}
+
+void Fleet::heard(peers::Id from, std::span<const char> bytes) {
+  auto m = fleet::decode(bytes);
+  if (!m || m->from != from) return void(++refused_);
+  take(*m);
+  settle();
+  arm();
+}
+
 void Fleet::settle() {
   for (const members::Change& c : swim_.changes())
     if (!c.noteOnly) log::say("fleet member %u %s incarnation %u", c.who, members::word(c.state), c.incarnation);
--- a/src/front/fleet.hpp
+++ b/src/front/fleet.hpp
@@ -1,4 +1,4 @@
-// The fleet's part of a front: membership and the verdict in common over one UDP socket on the loop's ground. Thin:
+// The fleet's part of a front: membership and the verdict in common, over one UDP socket on the loop's ground or the peers' one. Thin:
 // what it decides is in src/members/ and src/failover/; here are the socket, the timer and the log.
 //
 // It logs each change it sees, one line each, for operators and for the checker across processes:
@@ -15,36 +15,44 @@
 #include "failover/health.hpp"
 #include "failover/verdict.hpp"
 #include "front/charter.hpp"
+#include "front/part.hpp"
 #include "loop/loop.hpp"
 #include "members/swim.hpp"
 
 namespace dunlinwick::front {
 
-class Fleet final : loop::Handler {
+class Fleet final : public Part, loop::Handler {
  public:
   // Throws std::runtime_error where the socket can't be had.
   // `steer`: called with each new verdict's shares by the platform's zones, where the terms steer.
   using Steer = std::function<void(std::vector<double>)>;
-  Fleet(loop::Loop& loop, const FleetTerms& terms, std::uint64_t seed, failover::Health& health, Steer steer);
+  Fleet(loop::Loop& loop, const FleetTerms& terms, std::uint64_t seed, failover::Health& health, Steer steer,
+        Carrier* peers = nullptr);  // with it, no socket and no timer of its own
   ~Fleet();
-  std::string view() const;  // JSON
+  peers::Channel channel() const override { return peers::Channel::members; }
+  void heard(peers::Id from, std::span<const char> message) override;
+  void wake() override;
+  Ms wakeAt() const override;
+  std::string view() const override;  // JSON
   const failover::Verdict& verdict() const { return verdicts_.verdict(); }
 
  private:
   void ready(short events) override;
-  void wake();
+  void take(const members::Message& message);
   void send(const std::vector<members::Message>& out);
   void settle();
   void arm();
 
   loop::Loop& loop_;
   FleetTerms terms_;
-  loop::Descriptor socket_;
+  Carrier* peers_;
+  loop::Descriptor socket_;  // over peers: none
   members::Swim swim_;
   failover::Verdicts verdicts_;
   failover::Health& health_;
   Steer steer_;
   std::uint64_t timer_ = 0;
+  Ms lookedAt_ = 0;
   std::uint64_t sent_ = 0, received_ = 0, refused_ = 0;
 };
 
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -50,10 +50,9 @@
   exchange_.meet(caches_);
   if (!board_.begin(c.known)) throw std::runtime_error("configuration lacks usable events under known");
   board_.follow();
-  if (c.fleet.on)
-    fleet_ = std::make_unique<Fleet>(loop, c.fleet, c.seed, health_,
-                                     [this](std::vector<double> shares) { exchange_.sharesCame(std::move(shares)); });
-  if (c.owner.on) owner_ = std::make_unique<Owner>(loop, c.owner, c.seed);
+  Fleet::Steer steer = [this](std::vector<double> shares) { exchange_.sharesCame(std::move(shares)); };
+  if (c.fleet.on && !c.fleet.overPeers) fleet_ = std::make_unique<Fleet>(loop, c.fleet, c.seed, health_, steer);
+  parts_ = makeParts(loop, c, health_, std::move(steer));
 }
 
 exchange::Decider Front::noting(exchange::Decider decides) {
--- a/src/front/front.hpp
+++ b/src/front/front.hpp
@@ -5,7 +5,7 @@
 #include "clients/clients.hpp"
 #include "front/charter.hpp"
 #include "front/fleet.hpp"
-#include "front/owner.hpp"
+#include "front/parts.hpp"
 
 #include <memory>
 
@@ -32,8 +32,8 @@
   caches::Caches caches_;
   board::Board board_;
   clients::Clients clients_;
-  std::unique_ptr<Fleet> fleet_;  // with a fleet block only
-  std::unique_ptr<Owner> owner_;  // with an owner block only
+  std::unique_ptr<Fleet> fleet_;  // with a fleet block that has a socket of its own
+  std::unique_ptr<Parts> parts_;  // with an owner or a peers block
   bool stopping_ = false;
 };
 
--- a/src/front/owner.cpp
+++ b/src/front/owner.cpp
@@ -13,22 +13,25 @@
 
 namespace dunlinwick::front {
 
-bool ownerBuilt() { return true; }
-
 struct Owner::Inner {
   OwnerTerms terms;
-  loop::Descriptor socket;
+  Carrier* peers = nullptr;
+  loop::Descriptor socket;  // over peers: none
   std::unique_ptr<owner::Store> store;
   std::unique_ptr<owner::Node> node;
-  std::uint64_t timer = 0, sent = 0, received = 0;
+  std::uint64_t timer = 0, sent = 0, received = 0, strange = 0;
+  Ms tickAt = 0;
 };
 
-Owner::Owner(loop::Loop& loop, const OwnerTerms& terms, std::uint64_t seed) : loop_(loop), inner_(std::make_unique<Inner>()) {
+Owner::Owner(loop::Loop& loop, const OwnerTerms& terms, std::uint64_t seed, Carrier* peers)
+    : loop_(loop), inner_(std::make_unique<Inner>()) {
   Inner& in = *inner_;
-  in.terms = terms;
-  int fd = loop.ground().openDatagrams(terms.listen);
-  if (fd < 0) throw std::runtime_error("owner.listen cannot be had: " + std::string(std::strerror(-fd)));
-  in.socket = loop::Descriptor(loop.ground(), fd);
+  in.terms = terms, in.peers = peers;
+  if (!peers) {
+    int fd = loop.ground().openDatagrams(terms.listen);
+    if (fd < 0) throw std::runtime_error("owner.listen cannot be had: " + std::string(std::strerror(-fd)));
+    in.socket = loop::Descriptor(loop.ground(), fd);
+  }
   owner::NodeTerms t;
   t.self = terms.self, t.group = terms.group, t.lease = terms.lease, t.raft = terms.raft;
   for (const OwnerTerms::Work& w : terms.works) t.jobs.push_back({w.name, w.steps, w.each, w.places});
@@ -40,6 +43,12 @@
   owner::Node::Ways ways;
   ways.send = [this](owner::Id to, std::string bytes) {
     auto at = inner_->terms.at.find(to);
+    if (inner_->peers) {
+      ++inner_->sent;
+      if (at == inner_->terms.at.end()) inner_->peers->send(peers::Channel::owner, to, std::move(bytes));
+      else inner_->peers->sendRaw(at->second, bytes);  // a place
+      return;
+    }
     if (at == inner_->terms.at.end()) return;
     ++inner_->sent;
     loop_.ground().sendTo(inner_->socket.get(), bytes, at->second);  // lost where the system can't take it: as on a wire
@@ -49,19 +58,36 @@
   in.node = std::make_unique<owner::Node>(std::move(t), in.store.get(), static_cast<std::uint64_t>(now), seed, now, std::move(ways));
   log::say("owner: front %u, %s, %zu works%s", terms.self, member ? "in the group" : "not in the group", terms.works.size(),
            member && terms.store.empty() ? "; in memory: a member that restarts is lost to the group" : "");
-  loop_.watch(in.socket.get(), *this, POLLIN);
+  if (!peers) loop_.watch(in.socket.get(), *this, POLLIN);
   wake();
 }
 
 Owner::~Owner() {
   loop_.cancel(inner_->timer);
-  loop_.forget(inner_->socket.get());
+  if (!inner_->peers) loop_.forget(inner_->socket.get());
 }
 
 void Owner::wake() {
   constexpr loop::Ms each = 20;
   inner_->node->tick(loop_.now());
-  inner_->timer = loop_.at(loop_.now() + each, [this] { wake(); });
+  inner_->tickAt = loop_.now() + each;
+  if (!inner_->peers) inner_->timer = loop_.at(inner_->tickAt, [this] { wake(); });
+}
+
+Ms Owner::wakeAt() const { return inner_->tickAt; }
+
+void Owner::heard(peers::Id from, std::span<const char> message) {
+  auto f = owner::frame(message);
+  if (!f || f->from != from) return void(++inner_->strange);
+  ++inner_->received;
+  inner_->node->receive(loop_.now(), message);
+}
+
+void Owner::raw(std::span<const char> datagram) {
+  auto f = owner::frame(datagram);
+  if (!f || f->kind != owner::Kind::did || !inner_->terms.at.count(f->from)) return void(++inner_->strange);
+  ++inner_->received;
+  inner_->node->receive(loop_.now(), datagram);
 }
 
 void Owner::ready(short) {
@@ -72,7 +98,7 @@
     ssize_t got = loop_.ground().receiveFrom(inner_->socket.get(), buffer, from);
     if (got < 0) break;
     if (got == 3 && std::memcmp(buffer.data(), "DO?", 3) == 0) {
-      std::string text = status();
+      std::string text = view();
       loop_.ground().sendTo(inner_->socket.get(), text, from);
       continue;
     }
@@ -81,13 +107,13 @@
   }
 }
 
-std::string Owner::status() const {
+std::string Owner::view() const {
   const Inner& in = *inner_;
   owner::Node& node = *in.node;
   auto yes = [](bool b) { return std::string(b ? "true" : "false"); };
   auto left = [&](owner::Ms until) { return until > 1e200 ? std::string("null") : std::to_string(std::lround(until - loop_.now())); };
   std::string s = "{\"self\":" + std::to_string(in.terms.self) + ",\"sent\":" + std::to_string(in.sent) + ",\"received\":" +
-                  std::to_string(in.received) + ",\"refused\":" + std::to_string(node.refused());
+                  std::to_string(in.received) + ",\"refused\":" + std::to_string(node.refused() + in.strange);
   if (owner::Group* g = node.group()) {
     s += ",\"group\":\"" + std::string(word(g->standing())) + "\",\"why\":\"" + g->why() + "\",\"leads\":" + yes(g->leads()) +
          ",\"leader\":" + std::to_string(g->leader()) + ",\"term\":" + std::to_string(g->term()) + ",\"lasting\":" + yes(in.store->lasts()) +
--- a/src/front/owner.hpp
+++ b/src/front/owner.hpp
@@ -1,4 +1,4 @@
-// The owner's part of a front: its node (src/owner/node.*) over one UDP socket on the loop's ground, and its store. Thin: what it
+// The owner's part of a front: its node (src/owner/node.*) over one UDP socket on the loop's ground or the peers' one, and its store. Thin: what it
 // decides is in src/owner/.
 //
 // It logs, one line each, for operators and the checker of histories:
@@ -12,24 +12,27 @@
 #include <string>
 
 #include "front/charter.hpp"
+#include "front/part.hpp"
 #include "loop/loop.hpp"
 
 namespace dunlinwick::front {
 
-// Whether this build has ownership (libraft); else a configuration with an owner block is refused.
-bool ownerBuilt();
-
-class Owner final : loop::Handler {
+// Over the peers' socket fronts are heard on its channel alone, and only places by datagrams of their own.
+class Owner final : public Part, loop::Handler {
  public:
   // Throws std::runtime_error where the socket or the store can't be had.
-  Owner(loop::Loop& loop, const OwnerTerms& terms, std::uint64_t seed);
+  Owner(loop::Loop& loop, const OwnerTerms& terms, std::uint64_t seed, Carrier* peers = nullptr);
   ~Owner();
-  std::string status() const;  // JSON
+  peers::Channel channel() const override { return peers::Channel::owner; }
+  void heard(peers::Id from, std::span<const char> message) override;
+  void raw(std::span<const char> datagram) override;
+  void wake() override;
+  Ms wakeAt() const override;
+  std::string view() const override;  // JSON
 
  private:
   struct Inner;
   void ready(short events) override;
-  void wake();
 
   loop::Loop& loop_;
   std::unique_ptr<Inner> inner_;
--- /dev/null
+++ b/src/front/parts.hpp
@@ -0,0 +1,19 @@
+// The fleet layer's parts that only a full build has: the peers' socket with what runs over it, and the owner. A build without them
+// (src/front/parts_none.cpp, the operators') refuses their blocks where the configuration is read.
+#pragma once
+#include <memory>
+
+#include "front/charter.hpp"
+#include "front/fleet.hpp"
+
+namespace dunlinwick::front {
+
+class Parts {
+ public:
+  virtual ~Parts() = default;
+};
+// Nothing where the configuration asks for none. The members are among them where they run over the peers' socket. Throws
+// std::runtime_error where a socket or the owner's store can't be had.
+std::unique_ptr<Parts> makeParts(loop::Loop& loop, const Charter& charter, failover::Health& health, Fleet::Steer steer);
+
+}  // namespace dunlinwick::front
--- /dev/null
+++ b/src/front/parts_none.cpp
@@ -0,0 +1,15 @@
+// A build without the fleet layer's heavier parts: their blocks are refused where the configuration is read, so nothing of them is
+// ever made.
+#include <stdexcept>
+
+#include "front/parts.hpp"
+
+namespace dunlinwick::front {
+
+bool partsBuilt() { return false; }
+PeersTerms readPeers(const json::Value&) {
+  throw std::runtime_error("peers: this build has no peers' socket; build with -DDUNLINWICK_OWNER=ON");
+}
+std::unique_ptr<Parts> makeParts(loop::Loop&, const Charter&, failover::Health&, Fleet::Steer) { return nullptr; }
+
+}  // namespace dunlinwick::front
--- a/src/peers/peers.cpp
+++ b/src/peers/peers.cpp
@@ -35,7 +35,8 @@
     std::deque<std::pair<Ms, std::uint32_t>> flying;     // when sent; emptied after `again`
     std::size_t inFlight = 0, had = 0, best = 0;
     std::uint32_t message = 0;
-    std::uint64_t digest = 0, life = 0;
+    std::uint64_t digest = 0;
+    Life life;
     Ms progressAt = 0;
     bool sendable(const Terms& t) const { return !small.empty() || (!lacking.empty() && inFlight < t.mostInFlight); }
   };
@@ -51,7 +52,8 @@
     Ms progressAt = 0, answeredAt = -1e9;
   };
   struct Peer {
-    std::uint32_t incarnation = 0;  // 0: no piece has come yet
+    std::uint64_t incarnation = 0;  // 0: no piece has come yet
+    Ms heardAt = 0;                 // of this incarnation
     std::array<Out, channels> out;
     std::array<In, channels> in;
   };
@@ -62,7 +64,7 @@
 
   Id self;
   Terms terms;
-  std::uint32_t incarnation;
+  std::uint64_t incarnation;
   Wire wire;
   Deliver deliver;
   const Breaks& breaks;
@@ -75,7 +77,7 @@
   std::size_t heldOut = 0, heldIn = 0, smallBytes = 0;
   Ms ticked;
 
-  Inner(Id s, Terms t, std::uint32_t i, Ms now, Wire w, Deliver d, const Breaks& b)
+  Inner(Id s, Terms t, std::uint64_t i, Ms now, Wire w, Deliver d, const Breaks& b)
       : self(s), terms(t), incarnation(i), wire(std::move(w)), deliver(std::move(d)), breaks(b), ticked(now) {
     for (std::size_t c = 0; c < channels; ++c) buckets[c] = {terms.budgets[c].burst, now};
   }
@@ -104,7 +106,7 @@
 
   // The first of the large ones gets under way.
   void begin(Ms now, Out& o) {
-    o.is.clear(), o.lacking.clear(), o.flying.clear(), o.inFlight = o.had = o.best = 0, o.life = 0;
+    o.is.clear(), o.lacking.clear(), o.flying.clear(), o.inFlight = o.had = o.best = 0, o.life = {};
     if (o.large.empty()) return;
     ++o.message, o.progressAt = now;
     o.digest = digest(o.large.front());
@@ -162,8 +164,8 @@
     if (h.pieces.size() != o.is.size()) return void(++counters[c].junk);
     if (h.life < o.life && !breaks.oldLife) return;  // overtaken
     if (h.life > o.life && !breaks.oldLife) {
-      if (o.life != 0) {  // whoever named pieces before has lost them
-        if (h.life >> 32 != o.life >> 32) o.best = 0;
+      if (o.life != Life{}) {  // whoever named pieces before has lost them
+        if (h.life.first != o.life.first) o.best = 0;
         o.lacking.clear(), o.flying.clear(), o.inFlight = o.had = 0;
         std::fill(o.is.begin(), o.is.end(), Out::Is::lacking);
         for (std::uint32_t i = 0; i < o.is.size(); ++i) o.lacking.push_back(i);
@@ -187,7 +189,7 @@
   }
   void answer(Ms now, Id to, In& in, std::size_t c) {
     in.unanswered = 0, in.answeredAt = now;
-    Had h{peers.at(to).incarnation, in.message, std::uint64_t{incarnation} << 32 | in.begun, {}};
+    Had h{peers.at(to).incarnation, in.message, {incarnation, in.begun}, {}};
     if (!in.done) h.pieces = in.active ? in.had : std::vector<bool>(pieces(in.size));
     put(to, c, encode(static_cast<Channel>(c), self, h));
   }
@@ -210,7 +212,9 @@
     Counters& n = counters[c];
     Peer* from = peer(id);
     if (!from) return void(++n.dropped);
-    if (p.incarnation > from->incarnation && (!breaks.oldLife || from->incarnation == 0)) {
+    // A lower one after long silence is a new life as well, by a clock that was set back.
+    bool silent = now - from->heardAt > terms.giveUp;
+    if ((p.incarnation > from->incarnation || (p.incarnation < from->incarnation && silent)) && (!breaks.oldLife || from->incarnation == 0)) {
       for (In& in : from->in) {
         if (in.active) ++n.dropped;
         drop(in);
@@ -219,6 +223,7 @@
       from->incarnation = p.incarnation;
     }
     if (p.incarnation < from->incarnation && !breaks.oldLife) return void(++n.dropped);
+    from->heardAt = now;
     In& in = from->in[c];
     if (p.message < in.message) return void(++n.dropped);
     bool same = p.message == in.message && p.digest == in.digest && p.size == in.size;
@@ -244,7 +249,7 @@
   }
 };
 
-Peers::Peers(Id self, Terms terms, std::uint32_t incarnation, Ms now, Wire wire, Deliver deliver)
+Peers::Peers(Id self, Terms terms, std::uint64_t incarnation, Ms now, Wire wire, Deliver deliver)
     : inner_(std::make_unique<Inner>(self, terms, incarnation, now, std::move(wire), std::move(deliver), breaks)) {}
 Peers::~Peers() = default;
 
--- a/src/peers/peers.hpp
+++ b/src/peers/peers.hpp
@@ -15,7 +15,8 @@
 // - Order of service in tick(): by channel, members first, as in the enumeration; a channel over its budget waits, the
 //   others do not wait for it. Within a channel peers are served in turn, and small messages before pieces.
 // - A sender's new life (higher incarnation, carried by pieces) drops what was half done with the old one; a receiver's new
-//   life (carried by its bitmaps) is sent everything again. A front's incarnation must be higher at each start.
+//   life (carried by its bitmaps) is sent everything again. A front's incarnation (its clock in ms) must be higher
+//   at each start; where a clock was set back, it is heard again after `giveUp` of silence.
 // Bounds: queue a peer and channel `mostQueued` bytes of small messages (oldest dropped, counted); large ones that wait or
 // are under way: `mostMessage` bytes a peer and channel, `mostHeld` in all, more are refused; half-received messages: one a
 // peer and channel, `mostPartial` a peer, `mostMessage` bytes each, `mostHeld` in all, dropped after `giveUp` without a new
@@ -74,7 +75,7 @@
   // Neither may call back into tick() or receive(); Deliver may call send().
   using Wire = std::function<void(Id to, std::string datagram)>;
   using Deliver = std::function<void(Id from, Channel channel, std::span<const char> message)>;
-  Peers(Id self, Terms terms, std::uint32_t incarnation, Ms now, Wire wire, Deliver deliver);
+  Peers(Id self, Terms terms, std::uint64_t incarnation, Ms now, Wire wire, Deliver deliver);
   ~Peers();
   Peers(const Peers&) = delete;
   Peers& operator=(const Peers&) = delete;
--- a/src/peers/wire.cpp
+++ b/src/peers/wire.cpp
@@ -62,7 +62,7 @@
 std::string encode(Channel channel, Id from, const Piece& p) {
   std::string b;
   b.reserve(mostInDatagram);
-  put(b, p.incarnation, 4), put(b, p.message, 4), put(b, p.size, 4), put(b, p.index, 4), put(b, p.digest, 8);
+  put(b, p.incarnation, 8), put(b, p.message, 4), put(b, p.size, 4), put(b, p.index, 4), put(b, p.digest, 8);
   b.append(p.bytes.data(), p.bytes.size());
   return encode(channel, from, Kind::piece, b);
 }
@@ -70,9 +70,9 @@
 std::optional<Piece> piece(std::span<const char> b) {
   if (b.size() <= pieceHead) return std::nullopt;
   Piece p;
-  p.incarnation = static_cast<std::uint32_t>(get(b, 0, 4)), p.message = static_cast<std::uint32_t>(get(b, 4, 4));
-  p.size = static_cast<std::uint32_t>(get(b, 8, 4)), p.index = static_cast<std::uint32_t>(get(b, 12, 4));
-  p.digest = get(b, 16, 8), p.bytes = b.subspan(pieceHead);
+  p.incarnation = get(b, 0, 8), p.message = static_cast<std::uint32_t>(get(b, 8, 4));
+  p.size = static_cast<std::uint32_t>(get(b, 12, 4)), p.index = static_cast<std::uint32_t>(get(b, 16, 4));
+  p.digest = get(b, 20, 8), p.bytes = b.subspan(pieceHead);
   std::size_t from = std::size_t{p.index} * pieceBytes;
   if (p.message == 0 || from >= p.size || pieces(p.size) > mostPieces) return std::nullopt;
   if (p.bytes.size() != std::min(pieceBytes, p.size - from)) return std::nullopt;
@@ -81,7 +81,7 @@
 
 std::string encode(Channel channel, Id from, const Had& h) {
   std::string b;
-  put(b, h.incarnation, 4), put(b, h.message, 4), put(b, h.life, 8), put(b, h.pieces.size(), 2);
+  put(b, h.incarnation, 8), put(b, h.message, 4), put(b, h.life.first, 8), put(b, h.life.second, 4), put(b, h.pieces.size(), 2);
   for (std::size_t i = 0; i < h.pieces.size(); i += 8) {
     unsigned bits = 0;
     for (std::size_t k = 0; k < 8 && i + k < h.pieces.size(); ++k) bits |= unsigned{h.pieces[i + k]} << k;
@@ -91,12 +91,12 @@
 }
 
 std::optional<Had> had(std::span<const char> b) {
-  constexpr std::size_t fixed = 18;
+  constexpr std::size_t fixed = 26;
   if (b.size() < fixed) return std::nullopt;
   Had h;
-  h.incarnation = static_cast<std::uint32_t>(get(b, 0, 4)), h.message = static_cast<std::uint32_t>(get(b, 4, 4));
-  h.life = get(b, 8, 8);
-  std::size_t n = get(b, 16, 2);
+  h.incarnation = get(b, 0, 8), h.message = static_cast<std::uint32_t>(get(b, 8, 4));
+  h.life = {get(b, 12, 8), static_cast<std::uint32_t>(get(b, 20, 4))};
+  std::size_t n = get(b, 24, 2);
   if (n > mostPieces || b.size() != fixed + (n + 7) / 8) return std::nullopt;
   h.pieces.resize(n);
   for (std::size_t i = 0; i < n; ++i) h.pieces[i] = static_cast<unsigned char>(b[fixed + i / 8]) >> i % 8 & 1;
--- a/src/peers/wire.hpp
+++ b/src/peers/wire.hpp
@@ -4,6 +4,7 @@
 #include <optional>
 #include <span>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "peers/peers.hpp"
@@ -24,23 +25,24 @@
 void seal(std::string& datagram);  // writes its check anew; at least `header` long
 
 struct Piece {
-  std::uint32_t incarnation = 0;  // of the sender
+  std::uint64_t incarnation = 0;  // of the sender
   std::uint32_t message = 0;      // numbers of a sender's life, by receiver and channel; from 1
   std::uint32_t size = 0;         // of the whole
   std::uint32_t index = 0;
   std::uint64_t digest = 0;       // of the whole
   std::span<const char> bytes;
 };
-constexpr std::size_t pieceHead = 24, pieceBytes = mostInDatagram - pieceHead;
+constexpr std::size_t pieceHead = 28, pieceBytes = mostInDatagram - pieceHead;
 constexpr std::size_t pieces(std::size_t size) { return (size + pieceBytes - 1) / pieceBytes; }
 std::string encode(Channel channel, Id from, const Piece& piece);
 std::optional<Piece> piece(std::span<const char> body);  // its bytes fit its index and size
 
+using Life = std::pair<std::uint64_t, std::uint32_t>;
 struct Had {
-  std::uint32_t incarnation = 0;  // of the sender of the message
+  std::uint64_t incarnation = 0;  // of the sender of the message
   std::uint32_t message = 0;
   // Of the receiver: its own incarnation, then how often it began anew. A bitmap with a higher one stands in for all before it.
-  std::uint64_t life = 0;
+  Life life;
   std::vector<bool> pieces;  // empty: it has been delivered
 };
 std::string encode(Channel channel, Id from, const Had& had);
--- a/tests/peers_test.cpp
+++ b/tests/peers_test.cpp
@@ -210,7 +210,7 @@
   Peers& two = net.start(2, 11);
   std::vector<std::string> good{encode(Channel::members, 1, Kind::whole, noise(net.random, 300)),
                                 encode(Channel::record, 1, Piece{10, 1, 3000, 1, 77, noise(net.random, pieceBytes)}),
-                                encode(Channel::record, 1, Had{11, 1, 5, std::vector<bool>(40, true)}),
+                                encode(Channel::record, 1, Had{11, 1, {5, 5}, std::vector<bool>(40, true)}),
                                 encode(Channel::rules, 1, Piece{10, 1, 1201, 1, 77, noise(net.random, 1201 - pieceBytes)})};
   std::uint64_t given = 0;
   for (const std::string& d : good)
@@ -254,13 +254,13 @@
 }  // namespace
 
 TEST_CASE("bytes: what is written is read, and nothing else is") {
-  CHECK(rc::check("pieces and bitmaps come back as they went", [](std::uint32_t incarnation, std::uint64_t life, const std::vector<bool>& bits, std::uint64_t dig) {
-    Had h{incarnation, 9, life, bits};
+  CHECK(rc::check("pieces and bitmaps come back as they went", [](std::uint64_t incarnation, std::uint64_t life, const std::vector<bool>& bits, std::uint64_t dig) {
+    Had h{incarnation, 9, {life, 8}, bits};
     std::string kept = encode(Channel::rules, 7, h);
     auto f = frame(kept);
     RC_ASSERT(f && f->kind == Kind::had && f->from == 7u && f->channel == Channel::rules);
     auto back = had(f->body);
-    RC_ASSERT(back && back->pieces == bits && back->life == life && back->incarnation == incarnation && back->message == 9u);
+    RC_ASSERT(back && back->pieces == bits && back->life == h.life && back->incarnation == incarnation && back->message == 9u);
     std::string bytes(pieceBytes, 'x');
     kept = encode(Channel::record, 7, Piece{incarnation, 3, 5000, 2, dig, bytes});
     f = frame(kept);
