Fleets on one socket a front: the harness, two process tests, and restarts into another version

A part by hand, rolling, restarts a fleet one by one into a front of another version with the configuration it had.

--- a/src/front/fleet.cpp
+++ b/src/front/fleet.cpp
@@ -122,7 +122,7 @@
 }
 
 void Fleet::heard(peers::Id from, std::span<const char> bytes) {
-  auto m = fleet::decode(bytes);
+  auto m = members::decode(bytes);
   if (!m || m->from != from) return void(++refused_);
   take(*m);
   settle();
--- a/src/rig/harness.cpp
+++ b/src/rig/harness.cpp
@@ -119,18 +119,20 @@
   for (std::size_t i = 0; i < n; ++i) fronts.push_back(at(i, fleet_.port));
   for (std::size_t z = 0; z < fleet_.zones.size(); ++z)
     for (int c = 0; c < fleet_.cachesPerZone; ++c) caches.push_back(cacheAt(z, c));
+  if (fleet_.peers && fleet_.owner.on)
+    for (std::size_t p = 0; p < static_cast<std::size_t>(fleet_.owner.places); ++p) fronts.push_back(placeAt(p));
   relay_ = std::make_unique<Relay>(loop_, fronts, caches, static_cast<std::uint16_t>(fleet_.port + 1), seed);
   int fd = loop_.ground().openDatagrams(host(2, 0));
   if (fd < 0) throw std::runtime_error("no socket to ask the fronts for their views");
   asker_ = loop::Descriptor(loop_.ground(), fd);
   begun_ = loop_.now();
   if (fleet_.owner.on) {
-    auto port = static_cast<std::uint16_t>(fleet_.port + 600), face = static_cast<std::uint16_t>(fleet_.port + 601);
+    auto port = static_cast<std::uint16_t>(fleet_.port + 600), face = static_cast<std::uint16_t>(fleet_.port + (fleet_.peers ? 1 : 601));
     std::vector<loop::Address> ends;
     auto places = static_cast<std::size_t>(fleet_.owner.places);
     for (std::size_t i = 0; i < n; ++i) ends.push_back(at(i, port));
     for (std::size_t p = 0; p < places; ++p) ends.push_back(placeAt(p));
-    ownerRelay_ = std::make_unique<Relay>(loop_, ends, std::vector<loop::Address>{}, face, seed + 1);
+    if (!fleet_.peers) ownerRelay_ = std::make_unique<Relay>(loop_, ends, std::vector<loop::Address>{}, face, seed + 1);
     for (std::size_t p = 0; p < places; ++p) {
       std::vector<std::string> words{programs_.place, "--listen", text(placeAt(p)), "--id", std::to_string(firstPlace + p)};
       for (std::size_t i = 0; i < n; ++i) words.insert(words.end(), {"--front", std::to_string(i + 1) + "=" + text(Relay::face(n + p, i, face))});
@@ -192,11 +194,12 @@
       "\"direct\":true,\"lateral\":\"location\",\"purgeDone\":6000},\"limits\":{\"maxAttempts\":4,\"cancel\":true,"
       "\"mayDuplicate\":true,\"probing\":true,\"retryAfter\":true,\"maxRetryAfter\":500,\"connectTimeout\":400,"
       "\"connIdle\":30000,\"streamsPerConn\":100},\"report\":{\"names\":[\"load_share\",\"concurrent\"],\"via\":\"probe\"}},"
-      "\"fleet\":{\"self\":" + std::to_string(i) + ",\"listen\":\"" + text(at(i, fleet_.port)) + "\",\"zones\":[" +
+      + peersBlock(i) + "\"fleet\":{\"self\":" + std::to_string(memberId(i)) +
+      (fleet_.peers ? "" : ",\"listen\":\"" + text(at(i, fleet_.port)) + "\"") + ",\"zones\":[" +
       joined(zones, [&](std::size_t z) { return "{\"name\":\"" + fleet_.zones[z] + "\",\"region\":\"" + fleet_.regions[z] + "\"}"; }) +
       "],\"members\":[" + joined(n, [&](std::size_t j) {
-        return "{\"id\":" + std::to_string(j) + ",\"at\":\"" + text(j == i ? at(i, fleet_.port) : Relay::face(i, j, face)) +
-               "\",\"zone\":\"" + fleet_.zones[static_cast<std::size_t>(fleet_.zoneOf[j])] + "\"}";
+        return "{\"id\":" + std::to_string(memberId(j)) +
+               (fleet_.peers ? "" : ",\"at\":\"" + text(j == i ? at(i, fleet_.port) : Relay::face(i, j, face)) + "\"") + ",\"zone\":\"" + fleet_.zones[static_cast<std::size_t>(fleet_.zoneOf[j])] + "\"}";
       }) + "],\"period_ms\":" + whole(fleet_.swim.period) + ",\"probe_timeout_ms\":" + whole(fleet_.swim.probeTimeout) +
       ",\"hold_back_ms\":" + whole(fleet_.verdict.holdBack) + ",\"lasting_ms\":" + whole(fleet_.verdict.lasting) +
       (fleet_.verdict.quorum > 0 ? ",\"quorum\":" + std::to_string(fleet_.verdict.quorum) : "") +
@@ -204,6 +207,15 @@
   return text_;
 }
 
+std::string Harness::peersBlock(std::size_t i) const {
+  if (!fleet_.peers) return "";
+  auto face = static_cast<std::uint16_t>(fleet_.port + 1);
+  return "\"peers\":{\"self\":" + std::to_string(i + 1) + ",\"listen\":\"" + text(at(i, fleet_.port)) + "\",\"members\":[" +
+         joined(fleet_.zoneOf.size(), [&](std::size_t j) {
+           return "{\"id\":" + std::to_string(j + 1) + ",\"at\":\"" + text(j == i ? at(i, fleet_.port) : Relay::face(i, j, face)) + "\"}";
+         }) + "]},";
+}
+
 loop::Address Harness::placeAt(std::size_t p) const {
   return host(static_cast<unsigned>(placeHosts + p), static_cast<std::uint16_t>(fleet_.port + 600));
 }
@@ -213,11 +225,13 @@
   if (!o.on) return "";
   std::size_t n = fleet_.zoneOf.size();
   auto places = static_cast<std::size_t>(o.places);
-  auto face = static_cast<std::uint16_t>(fleet_.port + 601);
+  auto face = static_cast<std::uint16_t>(fleet_.port + (fleet_.peers ? 1 : 601));
   auto whole = [](double v) { return std::to_string(static_cast<long long>(v)); };
   auto entry = [](std::size_t id, const loop::Address& a) { return "{\"id\":" + std::to_string(id) + ",\"at\":\"" + text(a) + "\"}"; };
-  return ",\"owner\":{\"self\":" + std::to_string(i + 1) + ",\"listen\":\"" + text(ownerAt(i)) + "\",\"members\":[" +
-         joined(n, [&](std::size_t j) { return entry(j + 1, j == i ? ownerAt(i) : Relay::face(i, j, face)); }) + "],\"places\":[" +
+  return ",\"owner\":{\"self\":" + std::to_string(i + 1) + (fleet_.peers ? "" : ",\"listen\":\"" + text(ownerAt(i)) + "\"") +
+         ",\"members\":[" + joined(n, [&](std::size_t j) {
+           return fleet_.peers ? "{\"id\":" + std::to_string(j + 1) + "}" : entry(j + 1, j == i ? ownerAt(i) : Relay::face(i, j, face));
+         }) + "],\"places\":[" +
          joined(places, [&](std::size_t p) { return entry(firstPlace + p, Relay::face(i, n + p, face)); }) + "],\"group\":[" +
          joined(static_cast<std::size_t>(o.group), [](std::size_t g) { return std::to_string(g + 1); }) + "]" +
          (o.lasting ? ",\"store\":\"" + programs_.folder + "/store-" + std::to_string(i) + "\"" : "") + ",\"lease_ms\":" + whole(o.lease) +
@@ -236,7 +250,7 @@
   auto in = [&](std::size_t f) { return std::count(group.begin(), group.end(), f) > 0; };
   for (std::size_t a = 0; a < pids_.size(); ++a)
     for (std::size_t b = 0; b < pids_.size(); ++b)
-      if ((in(a) && !in(b)) || (!outOnly && !in(a) && in(b))) ownerRelay_->link(a, b).cuts += on ? 1 : -1;
+      if ((in(a) && !in(b)) || (!outOnly && !in(a) && in(b))) ownerRelay().link(a, b).cuts += on ? 1 : -1;
 }
 
 void Harness::loseStore(std::size_t i) { std::filesystem::remove_all(programs_.folder + "/store-" + std::to_string(i)); }
@@ -262,7 +276,8 @@
 void Harness::start(std::size_t i) {
   std::string name = programs_.folder + "/front-" + std::to_string(i);
   std::ofstream(name + ".json") << configuration(i);
-  pids_[i] = spawn({programs_.front, "serve", "--config", name + ".json"}, "front-" + std::to_string(i));
+  auto own = programOf_.find(i);
+  pids_[i] = spawn({own != programOf_.end() ? own->second : programs_.front, "serve", "--config", name + ".json"}, "front-" + std::to_string(i));
 }
 
 void Harness::startZone(std::size_t z) {
--- a/src/rig/harness.hpp
+++ b/src/rig/harness.hpp
@@ -58,12 +58,17 @@
   std::string configuration(std::size_t i) const;
   static loop::Address at(std::size_t i, std::uint16_t port);
 
-  // ---- with an owner. Front i is owner's id i + 1; places have ids 1000 on, at 127.0.0.180 on.
-  Relay& ownerRelay() { return *ownerRelay_; }
+  // From its next start on, front i runs this program: fleets of two versions.
+  void runs(std::size_t i, const std::string& front) { programOf_[i] = front; }
+  std::uint32_t memberId(std::size_t i) const { return static_cast<std::uint32_t>(i + (fleet_.peers ? 1 : 0)); }
+
+  // ---- with an owner. Front i is owner's id i + 1; places have ids 1000 on, at 127.0.0.180 on. With `peers` its relay is the
+  // members': a cut of the owner is one of the members as well.
+  Relay& ownerRelay() { return fleet_.peers ? *relay_ : *ownerRelay_; }
   std::optional<json::Value> ownerStatus(std::size_t i);
   void cutOwner(const std::vector<std::size_t>& group, bool outOnly, bool on);  // fronts from each other; places stay in reach
   void loseStore(std::size_t i);  // of one that is down
-  loop::Address ownerAt(std::size_t i) const { return at(i, static_cast<std::uint16_t>(fleet_.port + 600)); }
+  loop::Address ownerAt(std::size_t i) const { return at(i, static_cast<std::uint16_t>(fleet_.port + (fleet_.peers ? 0 : 600))); }
 
  private:
   struct Client;
@@ -73,6 +78,7 @@
   loop::Address cacheAt(std::size_t z, int c) const;
   loop::Address placeAt(std::size_t p) const;
   std::string ownerBlock(std::size_t i) const;
+  std::string peersBlock(std::size_t i) const;
   bool wholeZone(const std::vector<std::size_t>& group, std::size_t zone) const;
   void nextPull();
 
@@ -84,6 +90,7 @@
   std::unique_ptr<Relay> relay_, ownerRelay_;
   std::vector<pid_t> pids_, zonePids_, placePids_;
   pid_t hub_ = 0;
+  std::map<std::size_t, std::string> programOf_;
   std::set<std::size_t> stopped_;
   loop::Descriptor asker_;
   std::vector<CueDone> cues_;
--- a/src/rig/script.cpp
+++ b/src/rig/script.cpp
@@ -29,6 +29,7 @@
     "lasting_ms": {"type": "integer", "minimum": 0, "maximum": 600000},
     "quorum": {"type": "integer", "minimum": 1, "maximum": 64},
     "steer": {"type": "boolean"},
+    "peers": {"type": "boolean"},
     "pulls_per_s": {"type": "number", "minimum": 0, "maximum": 200},
     "owner": {"type": "object", "additionalProperties": false, "required": ["works"], "properties": {
       "group": {"type": "integer", "enum": [3, 5]},
@@ -106,7 +107,7 @@
   take(root, "fronts", f.fronts), take(root, "caches_per_zone", f.cachesPerZone), take(root, "port", f.port);
   take(root, "period_ms", f.swim.period), take(root, "probe_timeout_ms", f.swim.probeTimeout);
   take(root, "hold_back_ms", f.verdict.holdBack), take(root, "lasting_ms", f.verdict.lasting);
-  take(root, "quorum", f.verdict.quorum), take(root, "steer", f.steer), take(root, "pulls_per_s", f.pullsPerS);
+  take(root, "quorum", f.verdict.quorum), take(root, "steer", f.steer), take(root, "peers", f.peers), take(root, "pulls_per_s", f.pullsPerS);
   if (const rapidjson::Value* each = member(root, "front_zones")) {
     if (fronts > 0) sheet.refuse("/front_zones", "names each front's zone; another number of fronts does not go with it");
     if (member(root, "fronts")) sheet.refuse("/fronts", "goes without front_zones, which names each front");
--- a/src/rig/script.hpp
+++ b/src/rig/script.hpp
@@ -39,6 +39,7 @@
   bool steer = true;
   double pullsPerS = 20;  // asked of each front
   OwnerFile owner;
+  bool peers = false;  // members and owner over one socket a front; members' ids are then those of the owner's fronts, from 1
 };
 // `fronts`: in place of the file's number, 0 for that. Throws schema::Refused.
 FleetFile readFleetFile(const std::string& path, int fronts = 0);
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -2,7 +2,8 @@
 // under the same address, a front cut off alone, a minority, one-way cuts, a lossy, slow, narrow net, a zone's caches lost
 // and silent. Clients ask all the while, and the checker across processes judges what was seen at the end of each part.
 // Each step waits, within a bound, for what the fronts' views must come to; the times it took are printed as figures,
-// never asserted. Arguments: the front's program, the toys', and a part (all where none is named).
+// never asserted. Arguments: the front's program, the toys', and a part (all where none is named); then `peers` for one socket a
+// front, or, with the part `rolling`, the program of another version that the fleet begins with (by hand).
 #include <unistd.h>
 
 #include <cassert>
@@ -32,6 +33,8 @@
   return s;
 }
 
+bool onPeers = false;
+
 struct Scene {
   const char* name;
   loop::Loop loop;
@@ -46,7 +49,7 @@
     int port = 10000 + (::getpid() % 50) * 1000;  // two runs at once do not meet
     fleet::FleetFile f = fleet::readFleetText("test", R"({"zones": [{"name": "a", "region": "north"}, {"name": "b", "region": "north"},
       {"name": "c", "region": "south"}], "front_zones": ["a", "a", "b", "b", "c"], "lasting_ms": 300, "pulls_per_s": 20,
-      "port": )" + std::to_string(port) + "}");
+      "port": )" + std::to_string(port) + (onPeers ? ", \"peers\": true}" : "}"));
     h = std::make_unique<fleet::Harness>(loop, f, fleet::Programs{programs[1], programs[2], "", folder}, 7);
     until("all see each other", [&] { return calm(); });
     h->ask(f.pullsPerS);
@@ -64,7 +67,7 @@
       if (!h->up(i) || std::count(but.begin(), but.end(), i)) continue;
       auto v = h->view(i);
       if (!v) return false;
-      if (about >= 0 && static_cast<int>(i) != about && state(*v, static_cast<std::size_t>(about)) != what) return false;
+      if (about >= 0 && static_cast<int>(i) != about && state(*v, h->memberId(static_cast<std::size_t>(about))) != what) return false;
       if (out(*v) != zones) return false;
     }
     return true;
@@ -133,6 +136,25 @@
   s.judged();
 }
 
+// A fleet of one version restarted one by one into another, with the same configuration; and one goes back.
+void rolling(char** programs, const std::string& to) {
+  Scene s("rolling", programs);
+  std::string from = programs[1];
+  for (std::size_t i = 0; i < s.h->size(); ++i) {
+    s.h->runs(i, to);
+    s.does(Deed::restart, {i});
+    s.until(("restart: front " + std::to_string(i) + " by the other version, all see each other").c_str(), [&] { return s.calm(); });
+  }
+  s.h->runs(2, from);
+  s.does(Deed::restart, {2});
+  s.until("restart: front 2 by the first version again", [&] { return s.calm(); });
+  s.does(Deed::kill, {4});
+  s.until("kill -9: front 4 dead to all, zone c out", [&] { return s.all(4, "dead", "c"); });
+  s.does(Deed::restart, {4});
+  s.until("restart: front 4 back, zone c back", [&] { return s.calm(); });
+  s.judged();
+}
+
 void cutOff(char** programs) {
   Scene s("cut off", programs);
   s.does(Deed::cut, {1});
@@ -140,7 +162,7 @@
   // Alone it holds all others dead, but alone it is no quorum: it keeps its zone, and its pulls stay there.
   s.until("front 1 alone takes the others for dead", [&] {
     auto v = s.h->view(1);
-    return v && state(*v, 0) == "dead" && state(*v, 4) == "dead";
+    return v && state(*v, s.h->memberId(0)) == "dead" && state(*v, s.h->memberId(4)) == "dead";
   });
   auto lone = s.h->view(1);
   assert(lone && out(*lone).empty());
@@ -204,9 +226,11 @@
 }  // namespace
 
 int main(int argc, char** argv) {
-  assert(argc == 3 || argc == 4);
+  assert(argc >= 3 && argc <= 5);
   std::setvbuf(stdout, nullptr, _IOLBF, 0);
-  std::string part = argc == 4 ? argv[3] : "";
+  std::string part = argc >= 4 ? argv[3] : "", more = argc == 5 ? argv[4] : "";
+  onPeers = more == "peers";
+  if (part == "rolling") rolling(argv, more);
   if (part.empty() || part == "killed") killed(argv);
   if (part.empty() || part == "cut") cutOff(argv);
   if (part.empty() || part == "rough") rough(argv);
--- a/tests/owner_fleet_test.cpp
+++ b/tests/owner_fleet_test.cpp
@@ -1,7 +1,8 @@
 // Ownership by five processes of the front, three of them the group, with two stand-ins that carry work out behind fences and a fault
 // relay on every link: an owner paused past its lease, an owner cut from the group that still reaches the places, the leader
 // killed in a handover, a member that comes back without its store, one-way cuts and links slow near the lease. The checker of
-// histories judges each part. Times are printed as figures, never asserted. Arguments: the programs, and a part.
+// histories judges each part. Times are printed as figures, never asserted. Arguments: the programs, and a part; then `peers` for one socket
+// a front, or, with the part `rolling`, the front's program of another version.
 #include <unistd.h>
 
 #include <cassert>
@@ -19,6 +20,8 @@
 
 namespace {
 
+bool onPeers = false;
+
 struct Scene {
   const char* name;
   loop::Loop loop;
@@ -31,7 +34,7 @@
     std::filesystem::create_directories(folder);
     int port = 10000 + (::getpid() % 50) * 1000;  // two runs at once do not meet
     fleet::FleetFile f = fleet::readFleetText("test", R"({"zones": [{"name": "a", "region": "north"}], "fronts": 5, "pulls_per_s": 0, "port": )" +
-        std::to_string(port) + R"(, "owner": {"works": [{"name": "sweep", "steps": )" + std::to_string(steps) + R"(, "each_ms": 40}, {"name": "push", "steps": )" +
+        std::to_string(port) + (onPeers ? ", \"peers\": true" : "") + R"(, "owner": {"works": [{"name": "sweep", "steps": )" + std::to_string(steps) + R"(, "each_ms": 40}, {"name": "push", "steps": )" +
         std::to_string(steps) + R"(, "each_ms": 40}]}})");
     h = std::make_unique<fleet::Harness>(loop, f, fleet::Programs{programs[1], programs[2], programs[3], folder}, 7);
     until("founded, and both works owned", [&] { return owns("sweep") >= 0 && owns("push") >= 0; });
@@ -150,6 +153,19 @@
   s.judged();
 }
 
+// A fleet of one version restarted one by one into another, with the same configuration and stores.
+void rolling(char** programs, const std::string& to) {
+  Scene s("rolling", programs, 250);
+  for (std::size_t i = 0; i < s.h->size(); ++i) {
+    s.h->runs(i, to);
+    s.h->restart(i);
+    s.until(("front " + std::to_string(i) + " by the other version: both works are owned or over").c_str(),
+            [&] { return s.over() || (s.owns("sweep") >= 0 && s.owns("push") >= 0); });
+    s.h->wait(500);
+  }
+  s.judged();
+}
+
 void cut(char** programs) {
   Scene s("cut", programs, 250);
   auto was = static_cast<std::size_t>(s.owns("sweep"));
@@ -209,9 +225,11 @@
 }  // namespace
 
 int main(int argc, char** argv) {
-  assert(argc == 4 || argc == 5);
+  assert(argc >= 4 && argc <= 6);
   std::setvbuf(stdout, nullptr, _IOLBF, 0);
-  std::string part = argc == 5 ? argv[4] : "";
+  std::string part = argc >= 5 ? argv[4] : "", more = argc == 6 ? argv[5] : "";
+  onPeers = more == "peers";
+  if (part == "rolling") rolling(argv, more);
   if (part.empty() || part == "paused") paused(argv);
   if (part.empty() || part == "cut") cut(argv);
   if (part.empty() || part == "leader") leader(argv);
