--- /dev/null
+++ b/src/logic/purges.hpp
@@ -0,0 +1,37 @@
+// Purges: what was purged when, and how old a copy may then be.
+#pragma once
+#include "logic_state/turn.hpp"
+
+namespace dunlinwick::logic {
+
+struct Purges : Part {
+  const Ms kept = 2 * f.purgeDone;  // twice: a fill may lay down an old copy late, and the cap costs nothing
+  std::unordered_map<std::uint64_t, Ms> purged{};  // object or group: when; emptied after `kept`
+
+  void take(const Purged& e) {
+    std::uint64_t key = e.wholeGroup ? ~static_cast<std::uint64_t>(e.group) : e.object;
+    Ms& known = purged.try_emplace(key, longAgo).first->second;
+    known = std::max(known, now - e.ago);
+    std::erase_if(purged, [&](auto& one) { return one.second < now - kept; });
+  }
+
+  Ms at(const Pull& p) const {
+    Ms latest = longAgo;
+    for (std::uint64_t key : {p.object, ~static_cast<std::uint64_t>(p.group)}) {
+      auto found = purged.find(key);
+      if (found != purged.end() && found->second > now - kept) latest = std::max(latest, found->second);
+    }
+    return latest;
+  }
+
+  // The age asked for, 0 where the offering's own limit will do. After a purge: at most the time since it,
+  // less one millisecond against rounding, and never 0, which would lift the cap.
+  Ms oldest(const Pull& p) const {
+    Ms purge = at(p);
+    if (purge == longAgo) return 0;
+    Ms since = std::max(now - purge - 1, 0.001);
+    return p.ware->freshFor > 0 ? std::min(since, p.ware->freshFor) : since;
+  }
+};
+
+}  // namespace dunlinwick::logic
--- /dev/null
+++ b/src/logic/roster.hpp
@@ -0,0 +1,77 @@
+// Roster: the list of machines, how warm each is, and the order in which an object is asked of them.
+#pragma once
+#include "logic/memories.hpp"
+
+namespace dunlinwick::logic {
+
+struct Roster : Part, Machines {
+  Memories& memories;
+  // Live weights change from list to list, and a home must not: they count as absent.
+  const bool weighed = f.weighing == Weighing::nominal || f.weighing == Weighing::rough;
+  Machine* origin = nullptr;
+
+  bool take(const ListNews& news) {
+    if (news.listing == Listing::failed)  // ask again soon: the old list stays, and ages
+      return act(WakeMe{now + second, wakeList << 56}), false;
+    if (f.asksForList && news.listing == Listing::remembered) act(FollowList{});
+    if (news.listing != Listing::changes)
+      for (auto& [id, m] : machines) m.standing = Standing::gone;  // one that a full list lacks has left
+    for (const ListEntry& e : news.entries) takeEntry(e);
+    std::erase_if(machines, [&](auto& one) { return left(one.second); });
+    regroup(), origin = nullptr;
+    for (Machine* m : origins)
+      if (!origin || m->standing == Standing::ready) origin = m;
+    return true;
+  }
+
+  // Gone, and nothing sent in the last minute was answered there: it is forgotten, unless a pull still points
+  // to it. Harm: one listed again later is as new to this front.
+  bool left(const Machine& m) {
+    if (m.standing != Standing::gone || now - m.lastGood < 60 * second || pulls.pointTo(&m)) return false;
+    return memories.table.unlink(&m), true;
+  }
+
+  void takeEntry(const ListEntry& e) {
+    Machine& m = machines[e.cache];
+    Ms before = m.startedAt;
+    static_cast<ListEntry&>(m) = e;
+    m.startedAt = std::max(e.startedAt, before);
+    if (!weighed || e.weight <= 0) m.weight = 1;
+    m.role = roleOf(e, f);
+    if (m.startedAt > before) {  // a new start: what was known of the old process is void
+      if (m.aside) act(TellHealth{m.cache, false});
+      m.strikes = 0, m.aside = m.trialOut = false, m.room = {};
+    }
+    // Weights absent: a cache is held to carry four transfers, a small machine's worth, a source ample;
+    // answers correct both. Until they prove more, cold budgets go by the four.
+    constexpr double small = 4, ample = 200;
+    m.room.nominal = m.isCache() ? small : ample;
+    if (weighed && m.role != Role::origin) m.room.nominal = m.weight;
+    m.room.proven = std::max(m.room.proven, small);
+    if (m.room.fits <= 0) m.room.fits = m.room.nominal;
+  }
+
+  const ColdTerms* coldTerms(const Machine& m) const {
+    if (m.role == Role::origin || m.startedAt <= 0) return nullptr;
+    const ColdTerms& t = m.role == Role::parent ? f.coldParent : f.coldStore;
+    return now - m.startedAt < t.lasts ? &t : nullptr;
+  }
+
+  double warmth(const Machine& m) const {
+    const ColdTerms* t = coldTerms(m);
+    return t ? t->from + (1 - t->from) * std::max(0.0, now - m.startedAt) / t->lasts : 1;
+  }
+
+  // Weighted rendezvous hash: every front comes to the same order. A cold machine's weight grows with its
+  // warmth, so that its objects come home in step with what it can carry.
+  std::vector<Machine*> inOrder(const std::vector<Machine*>& from, std::uint64_t object) const {
+    std::vector<std::pair<double, Machine*>> scored;
+    for (Machine* m : from) {
+      double u = inside(mixed(mixed(object) ^ mixed(m->cache)));  // ids differ, so parents order on their own
+      scored.emplace_back(-std::log(u) / (m->weight * warmth(*m)), m);
+    }
+    return sorted(std::move(scored));
+  }
+};
+
+}  // namespace dunlinwick::logic
--- a/src/records.hpp
+++ b/src/logic_state/records.hpp
@@ -1,11 +1,11 @@
-// What a front keeps in memory while it decides: plain records, no decisions. Only logic.cpp uses them.
+// What a front keeps in memory while it decides: plain records, no decisions. Only src/logic/ uses them.
 #pragma once
 #include <algorithm>
 #include <deque>
 
 #include "logic.hpp"
 
-namespace dunlinwick {
+namespace dunlinwick::logic {
 
 constexpr Ms longAgo = -1e15;
 
@@ -48,6 +48,7 @@
   Ms paceAt = longAgo, heldAt = longAgo;
   double share = 1;  // of the objects at home there that are still asked of it
   Ms shareAt = longAgo, cutAt = longAgo;
+  bool isCache() const { return role == Role::store || role == Role::foreign; }
 };
 
 // What is known of one part of one object; the oldest is dropped when the table is full, or by its age.
@@ -83,6 +84,11 @@
   bool legOut() const {
     return std::any_of(legs.begin(), legs.end(), [](const Leg& l) { return l.out; });
   }
+  bool pointsTo(const Machine* m) const {
+    auto there = [&](const Leg& l) { return l.at == m || l.source == m; };
+    return lastAt == m || hasFailed(m) || std::any_of(legs.begin(), legs.end(), there);
+  }
+  Ms knownSending() const { return ware->sendingsSeen ? sending : 0; }  // 0: no size was ever told
 };
 
-}  // namespace dunlinwick
+}  // namespace dunlinwick::logic
