--- /dev/null
+++ b/src/rig/configuration.cpp
@@ -0,0 +1,88 @@
+// What each front of a harness is configured with: its peers and caches by the relay's faces.
+#include <cstdio>
+
+#include "rig/addresses.hpp"
+#include "rig/harness.hpp"
+
+namespace dunlinwick::fleet {
+
+loop::Address Harness::at(std::size_t i, std::uint16_t port) { return host(static_cast<unsigned>(10 + i), port); }
+loop::Address Harness::cacheAt(std::size_t z, int c) const {
+  return host(static_cast<unsigned>(zoneHosts + z), static_cast<std::uint16_t>(fleet_.port + 300 + c));
+}
+loop::Address Harness::placeAt(std::size_t p) const {
+  return host(static_cast<unsigned>(placeHosts + p), static_cast<std::uint16_t>(fleet_.port + 600));
+}
+
+std::string Harness::configuration(std::size_t i) const {
+  std::size_t n = fleet_.zoneOf.size(), zones = fleet_.zones.size();
+  auto face = static_cast<std::uint16_t>(fleet_.port + 1);
+  auto whole = [](double v) { return std::to_string(static_cast<long long>(v)); };
+  auto server = [](const std::string& id, const loop::Address& a, const std::string& zone, const char* kind, int cell, int weight) {
+    return "{\"id\":\"" + id + "\",\"addr\":\"" + text(a) + "\",\"zone\":\"" + zone + "\",\"kind\":\"" + kind + "\",\"cell\":" +
+           std::to_string(cell) + ",\"state\":\"in_service\",\"weight\":" + std::to_string(weight) + ",\"started_ms\":0}";
+  };
+  std::string servers;
+  for (std::size_t z = 0; z < zones; ++z)
+    for (int c = 0; c < fleet_.cachesPerZone; ++c) {
+      std::size_t index = z * static_cast<std::size_t>(fleet_.cachesPerZone) + static_cast<std::size_t>(c);
+      servers += server("cache-" + fleet_.zones[z] + "-" + std::to_string(c), Relay::face(i, index, face), fleet_.zones[z],
+                        "box", static_cast<int>(z), 20) + ",";
+    }
+  servers += server("parent-1", host(hubHost, static_cast<std::uint16_t>(fleet_.port + 300)), "hub", "parent", 90, 200) + ",";
+  servers += server("origin", host(hubHost, static_cast<std::uint16_t>(fleet_.port + 301)), "hub", "origin", 91, 1);
+  std::vector<int> crew(zones);
+  for (int z : fleet_.zoneOf) ++crew[static_cast<std::size_t>(z)];
+  std::string name = "front-" + std::to_string(i);
+  char seed[32];
+  std::snprintf(seed, sizeof seed, "%llx", static_cast<unsigned long long>(seed_ * 1000003 + i));
+  std::string text_ = "{\"name\":\"" + name + "\",\"listen\":\"" + text(at(i, static_cast<std::uint16_t>(fleet_.port + 200))) +
+      "\",\"board\":\"" + text(host(hubHost, static_cast<std::uint16_t>(fleet_.port + 200))) + "\",\"seed\":\"" + seed +
+      "\",\"limits\":{\"cores\":1.0,\"memory_mb\":64,\"sockets\":512},\"known\":{\"rev\":1,\"notices\":[{\"rev\":1,\"pool\":"
+      "{\"version\":0,\"full\":true,\"servers\":[" + servers + "]}}]},\"settings\":{\"azs\":[\"hub\"," +
+      joined(zones, [&](std::size_t z) { return "\"" + fleet_.zones[z] + "\""; }) +
+      "],\"flavors\":[\"box\",\"parent\",\"origin\"],\"zone\":" + std::to_string(fleet_.zoneOf[i] + 1) + ",\"balancers\":" +
+      std::to_string(n) + ",\"discovery\":\"push\",\"weights\":\"nominal\",\"classes\":["
+      "{\"name\":\"video-parts\",\"aim\":500,\"aimStretch\":2,\"giveUp\":5000,\"importance\":2,\"idempotency\":\"repeatable\"},"
+      "{\"name\":\"order-handover\",\"aim\":700,\"giveUp\":3000,\"importance\":3,\"idempotency\":\"once\"}],"
+      "\"familyInfo\":{\"crewByZone\":[0," + joined(zones, [&](std::size_t z) { return std::to_string(crew[z]); }) +
+      "],\"pipeKbPerS\":[0," + joined(zones, [](std::size_t) { return std::string("120000"); }) +
+      "],\"streamKbPerS\":8800,\"parentKind\":1,\"sourceKind\":2,\"lifetimeByClass\":[0,0],\"neverKept\":[false,true],"
+      "\"direct\":true,\"lateral\":\"location\",\"purgeDone\":6000},\"limits\":{\"maxAttempts\":4,\"cancel\":true,"
+      "\"mayDuplicate\":true,\"probing\":true,\"retryAfter\":true,\"maxRetryAfter\":500,\"connectTimeout\":400,"
+      "\"connIdle\":30000,\"streamsPerConn\":100},\"report\":{\"names\":[\"load_share\",\"concurrent\"],\"via\":\"probe\"}},"
+      "\"fleet\":{\"self\":" + std::to_string(i) + ",\"listen\":\"" + text(at(i, fleet_.port)) + "\",\"zones\":[" +
+      joined(zones, [&](std::size_t z) { return "{\"name\":\"" + fleet_.zones[z] + "\",\"region\":\"" + fleet_.regions[z] + "\"}"; }) +
+      "],\"members\":[" + joined(n, [&](std::size_t j) {
+        return "{\"id\":" + std::to_string(j) + ",\"at\":\"" + text(j == i ? at(i, fleet_.port) : Relay::face(i, j, face)) +
+               "\",\"zone\":\"" + fleet_.zones[static_cast<std::size_t>(fleet_.zoneOf[j])] + "\"}";
+      }) + "],\"period_ms\":" + whole(fleet_.swim.period) + ",\"probe_timeout_ms\":" + whole(fleet_.swim.probeTimeout) +
+      ",\"hold_back_ms\":" + whole(fleet_.verdict.holdBack) + ",\"lasting_ms\":" + whole(fleet_.verdict.lasting) +
+      (fleet_.verdict.quorum > 0 ? ",\"quorum\":" + std::to_string(fleet_.verdict.quorum) : "") +
+      ",\"steer\":" + (fleet_.steer ? "true" : "false") + "}" + ownerBlock(i) + "}\n";
+  return text_;
+}
+
+std::string Harness::ownerBlock(std::size_t i) const {
+  const OwnerFile& o = fleet_.owner;
+  if (!o.on) return "";
+  std::size_t n = fleet_.zoneOf.size();
+  auto places = static_cast<std::size_t>(o.places);
+  auto face = static_cast<std::uint16_t>(fleet_.port + 601);
+  auto whole = [](double v) { return std::to_string(static_cast<long long>(v)); };
+  auto entry = [](std::size_t id, const loop::Address& a) { return "{\"id\":" + std::to_string(id) + ",\"at\":\"" + text(a) + "\"}"; };
+  return ",\"owner\":{\"self\":" + std::to_string(i + 1) + ",\"listen\":\"" + text(ownerAt(i)) + "\",\"members\":[" +
+         joined(n, [&](std::size_t j) { return entry(j + 1, j == i ? ownerAt(i) : Relay::face(i, j, face)); }) + "],\"places\":[" +
+         joined(places, [&](std::size_t p) { return entry(firstPlace + p, Relay::face(i, n + p, face)); }) + "],\"group\":[" +
+         joined(static_cast<std::size_t>(o.group), [](std::size_t g) { return std::to_string(g + 1); }) + "]" +
+         (o.lasting ? ",\"store\":\"" + programs_.folder + "/store-" + std::to_string(i) + "\"" : "") + ",\"lease_ms\":" + whole(o.lease) +
+         ",\"margin_ms\":" + whole(o.margin) + ",\"renew_ms\":" + whole(o.renewEvery) + ",\"election_ms\":" + whole(o.election) +
+         ",\"works\":[" + joined(o.works.size(), [&](std::size_t w) {
+           // The first work is carried out at all places, the others at one each.
+           return "{\"name\":\"" + o.works[w].name + "\",\"steps\":" + std::to_string(o.works[w].steps) + ",\"each_ms\":" + whole(o.works[w].each) +
+                  ",\"places\":[" + (w == 0 ? joined(places, [](std::size_t p) { return std::to_string(firstPlace + p); })
+                                              : std::to_string(firstPlace + w % places)) + "]}";
+         }) + "]}";
+}
+
+}  // namespace dunlinwick::fleet
--- a/src/rig/harness.hpp
+++ b/src/rig/harness.hpp
@@ -15,11 +15,11 @@
 #include <string>
 #include <vector>
 
+#include "json/json.hpp"
+#include "loop/loop.hpp"
 #include "rig/judge.hpp"
 #include "rig/relay.hpp"
 #include "rig/script.hpp"
-#include "json/json.hpp"
-#include "loop/loop.hpp"
 
 namespace dunlinwick::fleet {
 
@@ -75,6 +75,7 @@
   std::string ownerBlock(std::size_t i) const;
   bool wholeZone(const std::vector<std::size_t>& group, std::size_t zone) const;
   void nextPull();
+  void endClients();
 
   loop::Loop& loop_;
   FleetFile fleet_;
