--- a/src/owner/group.hpp
+++ b/src/owner/group.hpp
@@ -1,5 +1,6 @@
-// The group of fronts that agrees on the table of works: consensus by Debian's libraft (Raft, without pre-vote: group.cpp says why), its I/O given
-// by this class, so that the same code runs on a front's loop and on the stage. No clock, descriptor or randomness of its own.
+// The group of fronts that agrees on the table of works: consensus by Debian's libraft (Raft, without pre-vote: group_founding.cpp
+// says why), its I/O given by this class, so that the same code runs on a front's loop and on the stage. No clock, descriptor or
+// randomness of its own.
 //
 // Founding. Raft must not forget a vote. A member whose store holds nothing either is of a group that has never been, or has
 // lost what it promised; it can't tell by itself. So it says hello until every configured member has said, in the same
