JSON is read by RapidJSON's reader; the hand-written one goes

src/json/ keeps its plain Value, filled by RapidJSON's SAX reader (iterative, encoding validated, numbers kept as text). What the library takes and we do not stays refused: a name twice in an object, more than 32 levels, half a surrogate pair, a number no double holds, a byte 0 that the library takes for the text's end. New: bad UTF-8 is refused. Names of one object are compared by a sort; it was each with all, which a peer's line could make a square of its length.

--- a/src/json/json.cpp
+++ b/src/json/json.cpp
@@ -1,166 +1,82 @@
 #include "json/json.hpp"
 
+#include <rapidjson/memorystream.h>
+#include <rapidjson/reader.h>
+
+#include <algorithm>
 #include <charconv>
 #include <cmath>
 
 namespace dunlinwick::json {
 namespace {
 
-class Reader {
+// Fills a Value from what RapidJSON's reader finds, with no document of the library's beside it. Refuses what the library
+// takes: a depth beyond the bound, a name given twice, half of a surrogate pair, a number that no double can hold.
+class Filler {
  public:
-  explicit Reader(std::string_view text) : rest_(text) {}
-
-  bool whole(Value& v) {
-    if (!value(v, 0)) return false;
-    blanks();
-    return rest_.empty();
-  }
-
- private:
-  static constexpr int deepest = 32;  // settings nest four deep; the stack is safe far beyond this
+  explicit Filler(Value& root) : root_(root) {}
 
-  void blanks() {
-    while (!rest_.empty() && (rest_[0] == ' ' || rest_[0] == '\t' || rest_[0] == '\n' || rest_[0] == '\r'))
-      rest_.remove_prefix(1);
+  bool Null() { return put(Kind::null, {}); }
+  bool Bool(bool b) { return put(Kind::boolean, b ? "true" : "false"); }
+  bool RawNumber(const char* s, rapidjson::SizeType n, bool) {
+    return put(Kind::number, {s, n}) && std::isfinite(last_->asNumber());
   }
-  bool next(char c) {
-    if (rest_.empty() || rest_[0] != c) return false;
-    rest_.remove_prefix(1);
+  bool String(const char* s, rapidjson::SizeType n, bool) { return sound({s, n}) && put(Kind::string, {s, n}); }
+  bool Key(const char* s, rapidjson::SizeType n, bool) {
+    if (!sound({s, n})) return false;
+    open_.back()->members.emplace_back(std::string(s, n), Value{});
     return true;
   }
-  bool nextWord(std::string_view w) {
-    if (!rest_.starts_with(w)) return false;
-    rest_.remove_prefix(w.size());
-    return true;
-  }
-
-  bool value(Value& v, int depth) {
-    blanks();
-    if (rest_.empty() || depth > deepest) return false;
-    switch (rest_[0]) {
-      case '{':
-        return object(v, depth);
-      case '[':
-        return list(v, depth);
-      case '"':
-        v.kind = Kind::string;
-        return string(v.text);
-      case 't':
-        v.kind = Kind::boolean, v.text = "true";
-        return nextWord("true");
-      case 'f':
-        v.kind = Kind::boolean, v.text = "false";
-        return nextWord("false");
-      case 'n':
-        return nextWord("null");
-    }
-    return number(v);
-  }
-
-  bool object(Value& v, int depth) {
-    v.kind = Kind::object;
-    next('{');
-    blanks();
-    if (next('}')) return true;
-    do {
-      blanks();
-      std::string name;
-      if (!string(name) || v.find(name)) return false;
-      blanks();
-      if (!next(':')) return false;
-      v.members.emplace_back(std::move(name), Value{});
-      if (!value(v.members.back().second, depth + 1)) return false;
-      blanks();
-    } while (next(','));
-    return next('}');
-  }
-
-  bool list(Value& v, int depth) {
-    v.kind = Kind::list;
-    next('[');
-    blanks();
-    if (next(']')) return true;
-    do {
-      v.items.emplace_back();
-      if (!value(v.items.back(), depth + 1)) return false;
-      blanks();
-    } while (next(','));
-    return next(']');
+  bool StartObject() { return begin(Kind::object); }
+  bool StartArray() { return begin(Kind::list); }
+  bool EndObject(rapidjson::SizeType) {
+    bool once = namedOnce(open_.back()->members);
+    open_.pop_back();
+    return once;
   }
+  bool EndArray(rapidjson::SizeType) { return open_.pop_back(), true; }
+  // Never called: numbers come as they are written.
+  bool Int(int) { return false; }
+  bool Uint(unsigned) { return false; }
+  bool Int64(std::int64_t) { return false; }
+  bool Uint64(std::uint64_t) { return false; }
+  bool Double(double) { return false; }
 
-  std::size_t digits() {
-    std::size_t n = 0;
-    while (n < rest_.size() && rest_[n] >= '0' && rest_[n] <= '9') ++n;
-    rest_.remove_prefix(n);
-    return n;
-  }
-
-  bool number(Value& v) {
-    v.kind = Kind::number;
-    std::string_view from = rest_;
-    next('-');
-    bool zero = !rest_.empty() && rest_[0] == '0';
-    std::size_t n = digits();
-    if (n == 0 || (zero && n > 1)) return false;
-    if (next('.') && digits() == 0) return false;
-    if (next('e') || next('E')) {
-      next('+') || next('-');
-      if (digits() == 0) return false;
-    }
-    v.text = from.substr(0, from.size() - rest_.size());
-    return std::isfinite(v.asNumber());
+ private:
+  static constexpr std::size_t deepest = 32;  // settings nest four deep; the stack is safe far beyond this
+
+  bool put(Kind kind, std::string_view text) {
+    // Those that are open stay where they are: only the innermost grows.
+    if (open_.empty()) last_ = &root_;
+    else if (Value& in = *open_.back(); in.kind == Kind::list) last_ = &in.items.emplace_back();
+    else last_ = &in.members.back().second;
+    last_->kind = kind;
+    last_->text = text;
+    return open_.size() <= deepest;
   }
-
-  bool hex4(unsigned& code) {
-    if (rest_.size() < 4) return false;
-    auto [end, fault] = std::from_chars(rest_.data(), rest_.data() + 4, code, 16);
-    if (fault != std::errc{} || end != rest_.data() + 4) return false;
-    rest_.remove_prefix(4);
+  bool begin(Kind kind) {
+    if (!put(kind, {})) return false;
+    open_.push_back(last_);
     return true;
   }
-
-  static void utf8(std::string& out, unsigned c) {
-    auto put = [&](unsigned byte) { out.push_back(static_cast<char>(byte)); };
-    if (c < 0x80) return put(c);
-    if (c < 0x800) return put(0xc0 | c >> 6), put(0x80 | (c & 0x3f));
-    if (c < 0x10000) put(0xe0 | c >> 12);
-    else put(0xf0 | c >> 18), put(0x80 | (c >> 12 & 0x3f));
-    put(0x80 | (c >> 6 & 0x3f)), put(0x80 | (c & 0x3f));
-  }
-
-  bool escaped(std::string& out) {
-    static constexpr std::string_view marks = "\"\\/bfnrt", means = "\"\\/\b\f\n\r\t";
-    if (rest_.empty()) return false;
-    if (std::size_t at = marks.find(rest_[0]); at != marks.npos) {
-      out.push_back(means[at]);
-      rest_.remove_prefix(1);
-      return true;
-    }
-    unsigned c = 0, low = 0;
-    if (!next('u') || !hex4(c)) return false;
-    if (c >= 0xdc00 && c < 0xe000) return false;
-    if (c >= 0xd800 && c < 0xdc00) {
-      if (!nextWord("\\u") || !hex4(low) || low < 0xdc00 || low >= 0xe000) return false;
-      c = 0x10000 + ((c - 0xd800) << 10) + (low - 0xdc00);
-    }
-    utf8(out, c);
+  // The reader refuses bad UTF-8 in the text, but makes \udc00 alone into bytes that are none.
+  static bool sound(std::string_view s) {
+    for (std::size_t at = s.find('\xed'); at != s.npos; at = s.find('\xed', at + 1))
+      if (at + 1 < s.size() && static_cast<unsigned char>(s[at + 1]) >= 0xa0) return false;
     return true;
   }
-
-  bool string(std::string& out) {
-    if (!next('"')) return false;
-    while (!rest_.empty()) {
-      char c = rest_[0];
-      rest_.remove_prefix(1);
-      if (c == '"') return true;
-      if (static_cast<unsigned char>(c) < ' ') return false;
-      if (c != '\\') out.push_back(c);
-      else if (!escaped(out)) return false;
-    }
-    return false;
+  // Not by a look at all others for each: a peer's object may have as many names as its bound on bytes lets it.
+  static bool namedOnce(const std::vector<std::pair<std::string, Value>>& members) {
+    std::vector<std::string_view> names;
+    names.reserve(members.size());
+    for (auto& [name, value] : members) names.push_back(name);
+    std::sort(names.begin(), names.end());
+    return std::adjacent_find(names.begin(), names.end()) == names.end();
   }
 
-  std::string_view rest_;
+  Value& root_;
+  Value* last_ = nullptr;
+  std::vector<Value*> open_;  // from the outermost in; at most deepest + 1
 };
 
 }  // namespace
@@ -194,8 +110,15 @@
 }
 
 std::optional<Value> read(std::string_view text) {
-  Value v;
-  if (!Reader(text).whole(v)) return std::nullopt;
+  constexpr unsigned strictly =
+      rapidjson::kParseNumbersAsStringsFlag | rapidjson::kParseValidateEncodingFlag | rapidjson::kParseIterativeFlag;
+  std::optional<Value> v(std::in_place);
+  Filler filler(*v);
+  rapidjson::Reader reader;
+  rapidjson::MemoryStream stream(text.data(), text.size());
+  if (reader.Parse<strictly>(stream, filler).IsError()) v.reset();
+  // To the library a byte 0 ends the text.
+  if (stream.Tell() != text.size()) v.reset();
   return v;
 }
 
