--- a/src/peers/peers.hpp
+++ b/src/peers/peers.hpp
@@ -51,9 +51,11 @@
   double burst = 0;      // bytes that may be saved up
 };
 struct Terms {
-  std::array<Budget, channels> budgets{{{0, 0}, {0, 0}, {64e3, 64e3}, {128e3, 128e3}, {128e3, 128e3}, {2e6, 128e3}}};
+  // Bursts and pieces in flight stay well below a socket's receive buffer (Linux: 212,992 bytes, some 90 of our datagrams): a
+  // burst that fills it would cost the probes behind it.
+  std::array<Budget, channels> budgets{{{0, 0}, {0, 0}, {64e3, 32e3}, {128e3, 32e3}, {128e3, 32e3}, {2e6, 48e3}}};
   std::size_t mostQueued = 1 << 20, mostPartial = 4, mostMessage = 4 << 20, mostHeld = 16 << 20, mostPeers = 128;
-  std::size_t mostInFlight = 128;  // pieces
+  std::size_t mostInFlight = 40;  // pieces, of one large message
   Ms again = 200;                  // pieces that were not named as had are sent again
   Ms answerWithin = 30;            // what came is named no later than this
   Ms giveUp = 10000;
