--- a/src/record/log.cpp
+++ b/src/record/log.cpp
@@ -197,7 +197,9 @@
   Inner& in = *inner_;
   if (from != 0 && (from <= in.head.committed || from <= in.head.cleaned)) return false;
   Offset after = from == 0 ? in.last() : std::min(in.last(), from - 1);
-  if (after != 0 && after < source.forgotten) return false;
+  Offset forgotten = std::max(source.forgotten, in.head.forgotten);
+  bool begins = after == 0 && source.forgotten == forgotten;
+  if (after < forgotten && source.forgotten != in.head.forgotten && !begins) return false;
   if (!in.inRow(after, entries, std::max(source.cleaned, in.head.cleaned))) return false;
   std::size_t freed = 0;
   if (from != 0)
@@ -279,10 +281,11 @@
   in.forgetAges();
   return true;
 }
-bool Log::close(Offset hole) {
+bool Log::close(Offset hole, Source source) {
   Inner& in = *inner_;
   if (in.holes.empty() || *in.holes.begin() != hole || hole > in.head.committed) return false;
-  // What was there is superseded or was let go up to here: told as such, so that the gap is none at the next start either.
+  if (hole > source.cleaned || hole <= source.forgotten) return false;
+  // What was there is superseded: told as such, so that the gap is none at the next start either.
   Head next = in.head;
   next.cleaned = std::max(next.cleaned, hole);
   in.call([&] { in.disk.drop({hole}, next); });
--- a/src/record/log.hpp
+++ b/src/record/log.hpp
@@ -66,10 +66,11 @@
   bool whole() const;
   // The calls below write to the disk before memory; Full: nothing has changed. Failed: see failed().
   // from: as Disk::append; only above committed and cleaned. False, and nothing is changed: not in a row with what is here (gaps
-  // only up to `source.cleaned`), against the bounds of Entry, below what is committed, or what was forgotten at the source
-  // lies above what is here (then only anew() brings it up).
+  // only up to `source.cleaned`), against the bounds of Entry, or below what was forgotten here or at the source, where the two
+  // have not forgotten the same (a value could be here whose tombstone is gone there; then only anew() brings it up).
   bool append(Offset from, const std::vector<Entry>& entries, Source source = {});
-  // Begins anew from another's log: all here goes, committed included; the entries are its first ones.
+  // Begins anew from another's log: all here goes, committed included; the entries are its first ones, append() with the same
+  // source brings the rest.
   bool anew(const std::vector<Entry>& entries, Source source);
   void promise(Token token);
   void commit(Offset upTo);               // at most to last(); never back
@@ -77,9 +78,10 @@
   void keep();                            // writes the head, if it has changed
   std::vector<Offset> holes(std::size_t most) const;
   bool heal(const Entry& entry);  // false: not a hole
-  // A whole keeper that has cleaned past it has nothing there: it was compacted. Only the first hole, and only what is committed
-  // here; false else.
-  bool close(Offset hole);
+  // Another keeper that is whole() has nothing there: it was compacted. Only the first hole, only what is committed here, and
+  // only above what the other forgot: a tombstone may have been there, and what it hid may still be here (then only anew()
+  // mends it). False else.
+  bool close(Offset hole, Source source);
   // What is worth cleaning now, if anything; `passed`: the least position of living subscribers. An entry is young if its
   // time is within `lag` of `now`, on either side: one of a clock gone wrong does not stop compaction for ever.
   std::optional<Plan> worth(Ms now, Offset passed, Token token) const;
--- a/src/record/subscribers.cpp
+++ b/src/record/subscribers.cpp
@@ -19,7 +19,7 @@
   auto number = [&](std::uint64_t v) {
     for (int k = 0; k < 8; ++k) bytes.push_back(static_cast<char>(v >> (8 * k)));
   };
-  number(p.number), number(p.after), number(p.upTo), number(p.committed), number(p.snapshot), number(p.startOver);
+  number(p.number), number(p.after), number(p.upTo), number(p.committed), number(p.snapshot), number(p.forgotten), number(p.startOver);
   for (const Entry& e : p.entries) number(digest(e));
   return XXH64(bytes.data(), bytes.size(), 1);
 }
@@ -29,10 +29,11 @@
   if (const auto* w = std::get_if<Want>(&s)) {
     auto* to = m.mutable_want();
     to->set_subscriber(w->subscriber), to->set_life(w->life), to->set_number(w->number), to->set_after(w->after), to->set_streams(w->streams);
+    to->set_clean(w->clean);
   } else if (const auto* p = std::get_if<Piece>(&s)) {
     auto* to = m.mutable_piece();
     to->set_number(p->number), to->set_after(p->after), to->set_up_to(p->upTo), to->set_committed(p->committed);
-    to->set_snapshot(p->snapshot), to->set_start_over(p->startOver), to->set_digest(p->digest);
+    to->set_snapshot(p->snapshot), to->set_forgotten(p->forgotten), to->set_start_over(p->startOver), to->set_digest(p->digest);
     for (const Entry& e : p->entries) toWire(e, to->add_entries());
   } else {
     auto* to = m.mutable_lease();
@@ -50,13 +51,13 @@
   if (m.has_want()) {
     const auto& w = m.want();
     if (w.subscriber() == 0 || w.number() == 0 || w.streams() == 0) return std::nullopt;
-    return Want{w.subscriber(), w.life(), w.number(), w.after(), w.streams()};
+    return Want{w.subscriber(), w.life(), w.number(), w.after(), w.streams(), w.clean()};
   }
   if (m.has_piece()) {
     const auto& w = m.piece();
     Piece p;
     p.number = w.number(), p.after = w.after(), p.upTo = w.up_to(), p.committed = w.committed(), p.snapshot = w.snapshot();
-    p.startOver = w.start_over(), p.digest = w.digest();
+    p.forgotten = w.forgotten(), p.startOver = w.start_over(), p.digest = w.digest();
     for (const auto& one : w.entries()) {
       auto e = fromWire(one);
       if (!e) return std::nullopt;
@@ -126,11 +127,12 @@
   const Head& head = in.log.head();
   one.life = w.life, one.number = w.number, one.position = w.after, one.until = now + in.terms.lease;
   Piece p;
-  p.number = w.number, p.after = p.upTo = w.after, p.committed = head.committed;
+  p.number = w.number, p.after = p.upTo = w.after, p.committed = head.committed, p.forgotten = head.forgotten;
   if (w.after == 0) {
     one.snapshot = head.committed;
-  } else if (w.after < head.forgotten && !in.terms.breaks.resumedForgotten) {
-    // Whatever became of its lease: it may hold what a tombstone that is no more took away.
+  } else if (w.after < head.forgotten && w.clean < head.forgotten && !in.terms.breaks.resumedForgotten) {
+    // Whatever became of its lease: it may hold what a tombstone that is no more took away. (One that began after that was let
+    // go may well be below it still: a record's oldest live entries are, and it never saw what was hidden.)
     p.startOver = true, one.position = 0, one.snapshot = 0;
   }
   if (!p.startOver) {
@@ -162,7 +164,7 @@
   std::vector<Id> keepers;
   SubscriberTerms terms;
   std::size_t at = 0;  // of keepers: the one asked
-  Offset position = 0, committed = 0, snapshot = 0;
+  Offset position = 0, committed = 0, snapshot = 0, clean = 0;
   std::uint64_t number = 0, bytes = 0, refused = 0;
   bool waiting = false, answered = false;
   Ms due = 0, askedAt = 0, goodAt = -1;
@@ -172,7 +174,7 @@
   void ask(Ms now, const Out& out) {
     if (keepers.empty()) return;
     Want w;
-    w.subscriber = self, w.life = life, w.number = ++number, w.after = position;
+    w.subscriber = self, w.life = life, w.number = ++number, w.after = position, w.clean = clean;
     waiting = true, askedAt = now, due = now + terms.again;
     out.ask(keepers[at], w);
   }
@@ -213,13 +215,14 @@
   }
   in.waiting = false;
   if (p.startOver) {
-    in.position = in.snapshot = 0, in.answered = false;
+    in.position = in.snapshot = in.clean = 0, in.answered = false;
     if (out.startOver) out.startOver();
     in.ask(now, out);
     return;
   }
   in.answered = true;
-  if (in.position == 0) in.snapshot = p.snapshot;
+  if (in.position == 0) in.snapshot = p.snapshot, in.clean = p.forgotten;
+  in.clean = std::min(in.clean, p.forgotten);
   in.committed = std::max(in.committed, p.committed);
   bool moved = p.upTo > in.position;
   in.position = p.upTo;
--- a/src/record/subscribers.hpp
+++ b/src/record/subscribers.hpp
@@ -5,7 +5,7 @@
 // What it promises: no gap (at each position the subscriber has, of each key, the latest at or below it, or a later one is on its
 // way), no double and no older value after a newer one, whatever is lost, late, doubled, compacted, resumed at another
 // keeper or written meanwhile. Each piece carries a digest and is asked again where it does not fit. One that was away past its lease
-// and is behind `forgotten` is told to start over (its state is void: a recalled object would come back to life), never silently
+// and is behind `forgotten` (and began before that was forgotten: Want::clean) is told to start over (its state is void: a recalled object would come back to life), never silently
 // resumed. One too slow for `mostBehind` bytes under way is told so and bounded: it has one piece under way.
 // Bounds: `mostSubscribers` leases at the writer's front; one piece (pieceBytes) under way a subscriber.
 #pragma once
@@ -30,10 +30,12 @@
   std::uint64_t subscriber = 0, life = 0, number = 0;
   Offset after = 0;       // has all up to and with it; 0: begins
   std::uint32_t streams = 7;  // a bit a stream
+  Offset clean = 0;  // the least `forgotten` of the keepers it read from since it began: no value that those tombstones hid is in it
 };
 struct Piece {
   std::uint64_t number = 0;  // of the question
   Offset after = 0, upTo = 0, committed = 0, snapshot = 0;  // snapshot: S, while a join reads up to it
+  Offset forgotten = 0;  // of the keeper, as it answers
   bool startOver = false;
   std::vector<Entry> entries;
   std::uint64_t digest = 0;  // over all of the above
