--- a/src/record/log.cpp
+++ b/src/record/log.cpp
@@ -354,7 +354,7 @@
   std::sort(gone.begin(), gone.end());
   auto i = in.records.begin();
   while (i != in.records.end() && std::binary_search(gone.begin(), gone.end(), i->first)) ++i;
-  next.first = i->first;  // there is one, the last
+  next.first = i == in.records.end() ? last : i->first;  // the last stays, but may be a hole
   if (!in.holes.empty()) next.first = std::min(next.first, *in.holes.begin());
   if (gone.empty() && next == in.head) return in.swept = swept, true;  // after a start: nothing new for the disk
   in.call([&] { in.disk.drop(gone, next); });
--- a/src/record/subscribers.hpp
+++ b/src/record/subscribers.hpp
@@ -4,9 +4,11 @@
 //
 // What it promises: no gap (at each position the subscriber has, of each key, the latest at or below it, or a later one is on its
 // way), no double and no older value after a newer one, whatever is lost, late, doubled, compacted, resumed at another
-// keeper or written meanwhile. Each piece carries a digest and is asked again where it does not fit. One that was away past its lease
-// and is behind `forgotten` (and began before that was forgotten: Want::clean) is told to start over (its state is void: a recalled object would come back to life), never silently
-// resumed. One too slow for `mostBehind` bytes under way is told so and bounded: it has one piece under way.
+// keeper or written meanwhile. Each piece carries a digest and is asked again where it does not fit. One that was away past its
+// lease and is behind `forgotten` (and began before that was forgotten: Want::clean) is told to start over (its state is void: a
+// recalled object would come back to life), never silently resumed. A slow one has one piece under way, so that nothing piles up
+// for it; what it holds back is tombstones, for as long as its lease runs. A keeper's start forgets its leases: the worst that
+// comes of it is a start-over.
 // Bounds: `mostSubscribers` leases at the writer's front; one piece (pieceBytes) under way a subscriber.
 #pragma once
 #include <functional>
--- a/tests/record_test.cpp
+++ b/tests/record_test.cpp
@@ -306,6 +306,24 @@
   }
 }
 
+TEST_CASE("all before a hole at the end is let go") {
+  MemoryDisk disk;
+  {
+    Log log(1, terms(), disk, 1);
+    CHECK(log.append(0, {entry(1, "a", ""), entry(2, "b", "x")}));
+    log.commit(2);
+  }
+  disk.flip(2);
+  Log log(1, terms(), disk, 1);
+  compact(log, {1, 1, 1});
+  CHECK(log.size() == 0);
+  CHECK(log.head().first == 2);
+  CHECK(log.last() == 2);
+  CHECK(log.holes(3) == std::vector<Offset>{2});
+  CHECK(log.heal(entry(2, "b", "x")));
+  CHECK(Log(1, terms(), disk, 1).latest(Stream::recalls, "b")->value == "x");
+}
+
 TEST_CASE("old disk, swapped disk, no room in memory or on disk, entries out of bounds") {
   MemoryDisk disk;
   LogTerms t = terms();
