--- a/bench/record.cpp
+++ b/bench/record.cpp
@@ -94,8 +94,9 @@
     }
   }
   Join less = join(full);
-  std::printf("%8zu %7zu | %9.0f %8.1f | %9.0f %8.1f | %6.1f | %9.2f %9.2f %7.1f | %6zu %7.3f %7.3f\n", writes, keys, whole.bytes / 1000, whole.time, less.bytes / 1000, less.time,
-    whole.bytes / less.bytes, static_cast<double>(fullBytes) / 1e6, static_cast<double>(full.bytes()) / 1e6, fullMb, steps, steps ? sum / static_cast<double>(steps) : 0.0, most);
+  std::printf("%8zu %7zu | %9.0f %8.1f | %9.0f %8.1f | %6.1f | %9.2f %9.2f %7.1f | %6zu %7.3f %7.3f\n", writes, keys,
+      whole.bytes / 1000, whole.time, less.bytes / 1000, less.time, whole.bytes / less.bytes, static_cast<double>(fullBytes) / 1e6,
+      static_cast<double>(full.bytes()) / 1e6, fullMb, steps, steps ? sum / static_cast<double>(steps) : 0.0, most);
 }
 
 }  // namespace
@@ -123,7 +124,8 @@
       with.step();
       most = std::max(most, with.bytes());
       if (n == 1000 || n == 10000 || n == 50000 || n == 200000)
-        std::printf("%9zu %8.2f %8.2f %8.2f\n", static_cast<std::size_t>(n), static_cast<double>(without.bytes()) / 1e6, static_cast<double>(with.bytes()) / 1e6, static_cast<double>(most) / 1e6);
+        std::printf("%9zu %8.2f %8.2f %8.2f\n", static_cast<std::size_t>(n), static_cast<double>(without.bytes()) / 1e6,
+            static_cast<double>(with.bytes()) / 1e6, static_cast<double>(most) / 1e6);
     }
   }
   // On LMDB: each call on the disk of this machine's temporary folder before it returns.
@@ -154,8 +156,9 @@
       std::sort(v.begin(), v.end());
       return v[static_cast<std::size_t>(p * static_cast<double>(v.size() - 1))];
     };
-    std::printf("\nLMDB: an append of one entry p50 %.3f p99 %.3f ms (2,000); a step of 256 p50 %.3f most %.3f ms (%zu); pages %zu KB, after %zu KB\n", q(appends, 0.5), q(appends, 0.99),
-      q(steps, 0.5), q(steps, 1), steps.size(), pages / 1000, disk.pageBytes() / 1000);
+    std::printf("\nLMDB: an append of one entry p50 %.3f p99 %.3f ms (2,000); a step of 256 p50 %.3f most %.3f ms (%zu); ",
+        q(appends, 0.5), q(appends, 0.99), q(steps, 0.5), q(steps, 1), steps.size());
+    std::printf("pages %zu KB, after %zu KB\n", pages / 1000, disk.pageBytes() / 1000);
   }
   std::filesystem::remove_all(folder);
 }
--- a/src/record/log.cpp
+++ b/src/record/log.cpp
@@ -19,8 +19,8 @@
 // What one takes in memory: its node, the key once more in the index, and their bookkeeping.
 std::size_t sizeOf(const Entry& e) { return 256 + 2 * e.key.size() + e.value.size(); }
 bool fits(const Entry& e) {
-  return !e.key.empty() && e.key.size() <= longestKey && e.value.size() <= longestValue && static_cast<std::size_t>(e.stream) < streams &&
-         !(e.tombstone && !e.value.empty()) && std::isfinite(e.at);
+  return !e.key.empty() && e.key.size() <= longestKey && e.value.size() <= longestValue &&
+         static_cast<std::size_t>(e.stream) < streams && !(e.tombstone && !e.value.empty()) && std::isfinite(e.at);
 }
 
 }  // namespace
@@ -120,7 +120,8 @@
   void room(const std::vector<Entry>& entries, std::size_t freed) const {
     std::size_t more = 0;
     for (const Entry& e : entries) more += sizeOf(e);
-    if (bytes - freed + more > terms.mostBytes) throw Full("more than " + std::to_string(terms.mostBytes) + " bytes of record in memory");
+    if (bytes - freed + more > terms.mostBytes)
+      throw Full("more than " + std::to_string(terms.mostBytes) + " bytes of record in memory");
   }
   void place(Head next) { head = std::move(next), changed = false; }
 };
--- a/src/record/log.hpp
+++ b/src/record/log.hpp
@@ -59,8 +59,8 @@
   std::optional<Token> tokenAt(Offset offset) const;  // nothing: compacted, a hole, or beyond
   const Entry* at(Offset offset) const;
   const Entry* latest(Stream stream, const std::string& key) const;  // at or below committed; tombstones told as such
-  // Entries above `after` and at or below `upTo`, in order, at most `bytes` of them (keys, values, 40 each) but at least one; never
-  // past a hole. `reached`: all up to it is told (upTo where nothing cut it short; `after` where a hole is next).
+  // Entries above `after` and at or below `upTo`, in order, at most `bytes` of them (keys, values, 40 each) but at least one;
+  // never past a hole. `reached`: all up to it is told (upTo where nothing cut it short; `after` where a hole is next).
   std::vector<Entry> read(Offset after, Offset upTo, std::size_t bytes, Offset* reached = nullptr) const;
   // Whether what is served is a whole state: nothing above what is committed was compacted (a keeper being brought up is not).
   bool whole() const;
--- a/src/record/subscribers.cpp
+++ b/src/record/subscribers.cpp
@@ -19,7 +19,8 @@
   auto number = [&](std::uint64_t v) {
     for (int k = 0; k < 8; ++k) bytes.push_back(static_cast<char>(v >> (8 * k)));
   };
-  number(p.number), number(p.after), number(p.upTo), number(p.committed), number(p.snapshot), number(p.forgotten), number(p.startOver);
+  number(p.number), number(p.after), number(p.upTo), number(p.committed), number(p.snapshot);
+  number(p.forgotten), number(p.startOver);
   for (const Entry& e : p.entries) number(digest(e));
   return XXH64(bytes.data(), bytes.size(), 1);
 }
@@ -28,8 +29,8 @@
   proto::record::Message m;
   if (const auto* w = std::get_if<Want>(&s)) {
     auto* to = m.mutable_want();
-    to->set_subscriber(w->subscriber), to->set_life(w->life), to->set_number(w->number), to->set_after(w->after), to->set_streams(w->streams);
-    to->set_clean(w->clean);
+    to->set_subscriber(w->subscriber), to->set_life(w->life), to->set_number(w->number), to->set_after(w->after);
+    to->set_streams(w->streams), to->set_clean(w->clean);
   } else if (const auto* p = std::get_if<Piece>(&s)) {
     auto* to = m.mutable_piece();
     to->set_number(p->number), to->set_after(p->after), to->set_up_to(p->upTo), to->set_committed(p->committed);
@@ -190,7 +191,8 @@
   }
 };
 
-Subscriber::Subscriber(std::uint64_t self, std::uint64_t life, std::vector<Id> keepers, SubscriberTerms terms, Offset at, std::uint64_t seed, Ms now)
+Subscriber::Subscriber(std::uint64_t self, std::uint64_t life, std::vector<Id> keepers, SubscriberTerms terms, Offset at,
+    std::uint64_t seed, Ms now)
     : inner_(std::make_shared<Inner>()) {
   Inner& in = *inner_;
   in.self = self, in.life = life, in.keepers = std::move(keepers), in.terms = terms, in.position = at, in.due = now;
--- a/src/record/subscribers.hpp
+++ b/src/record/subscribers.hpp
@@ -32,7 +32,8 @@
   std::uint64_t subscriber = 0, life = 0, number = 0;
   Offset after = 0;       // has all up to and with it; 0: begins
   std::uint32_t streams = 7;  // a bit a stream
-  Offset clean = 0;  // the least `forgotten` of the keepers it read from since it began: no value that those tombstones hid is in it
+  // The least `forgotten` of the keepers it read from since it began: no value that those tombstones hid is in it.
+  Offset clean = 0;
 };
 struct Piece {
   std::uint64_t number = 0;  // of the question
@@ -75,7 +76,8 @@
     std::function<void()> startOver;             // all that was told before is void
   };
   // `at`: resumes from what was kept (0: from nothing).
-  Subscriber(std::uint64_t self, std::uint64_t life, std::vector<Id> keepers, SubscriberTerms terms, Offset at, std::uint64_t seed, Ms now);
+  Subscriber(std::uint64_t self, std::uint64_t life, std::vector<Id> keepers, SubscriberTerms terms, Offset at,
+      std::uint64_t seed, Ms now);
   void tick(Ms now, const Out& out);
   void receive(Ms now, Id from, const Piece& piece, const Out& out);
   Offset position() const;
--- a/src/record/wire.hpp
+++ b/src/record/wire.hpp
@@ -14,8 +14,8 @@
 }
 // Nothing where a bound of Entry does not hold.
 inline std::optional<Entry> fromWire(const proto::record::Entry& w) {
-  if (w.stream() >= streams || w.key().empty() || w.key().size() > longestKey || w.value().size() > longestValue || w.offset() == 0 ||
-      !std::isfinite(w.at()) || (w.tombstone() && !w.value().empty()))
+  if (w.stream() >= streams || w.key().empty() || w.key().size() > longestKey || w.value().size() > longestValue ||
+      w.offset() == 0 || !std::isfinite(w.at()) || (w.tombstone() && !w.value().empty()))
     return std::nullopt;
   return Entry{w.offset(), w.token(), static_cast<Stream>(w.stream()), w.key(), w.tombstone(), w.value(), w.at()};
 }
--- a/src/store/record_lmdb.cpp
+++ b/src/store/record_lmdb.cpp
@@ -79,8 +79,9 @@
     }
     void put(const Head& h) {
       proto::record::StoredHead w;
-      w.set_store(h.store), w.set_starts(h.starts), w.set_keeper(h.keeper), w.set_promised(h.promised), w.set_committed(h.committed);
-      w.set_first(h.first), w.set_cleaned(h.cleaned), w.set_forgotten(h.forgotten);
+      w.set_store(h.store), w.set_starts(h.starts), w.set_keeper(h.keeper);
+      w.set_promised(h.promised), w.set_committed(h.committed), w.set_first(h.first);
+      w.set_cleaned(h.cleaned), w.set_forgotten(h.forgotten);
       for (const auto& [id, upTo] : h.seen) {
         auto* one = w.add_seen();
         one->set_keeper(id), one->set_up_to(upTo);
@@ -177,8 +178,10 @@
       std::string start = keyOf(from);
       MDB_val k = Inner::Txn::val(start), v{};
       int fault = mdb_cursor_get(c.cursor, &k, &v, MDB_SET_RANGE);
-      for (; fault == 0 && k.mv_size == 9 && static_cast<const char*>(k.mv_data)[0] == 'e'; fault = mdb_cursor_get(c.cursor, &k, &v, MDB_NEXT))
+      while (fault == 0 && k.mv_size == 9 && static_cast<const char*>(k.mv_data)[0] == 'e') {
         gone.emplace_back(static_cast<const char*>(k.mv_data), k.mv_size);
+        fault = mdb_cursor_get(c.cursor, &k, &v, MDB_NEXT);
+      }
       if (fault != MDB_NOTFOUND) in.check("can't be read", fault);
     }
     for (const std::string& key : gone) t.drop(key);
--- a/src/store/record_lmdb.hpp
+++ b/src/store/record_lmdb.hpp
@@ -1,6 +1,6 @@
-// A keeper's record on disk, by LMDB: each writing call is one transaction that is on the disk when it returns. Each entry, and the
-// head, stands behind its digest: an entry that does not fit is told as a hole, a head that does not fit is Failed. Full: appended
-// entries would take more than `mapBytes` in pages; a quarter more is kept back, so that compaction, heads and healing have
+// A keeper's record on disk, by LMDB: each writing call is one transaction that is on the disk when it returns. Each entry, and
+// the head, stands behind its digest: an entry that does not fit is told as a hole, a head that does not fit is Failed. Full:
+// appended entries would take more than `mapBytes` in pages; a quarter more is kept back, so that compaction, heads and healing have
 // room to write the pages anew that they free others by. One process at a time. Failed with the path and the reason.
 #pragma once
 #include <memory>
--- a/tests/record_test.cpp
+++ b/tests/record_test.cpp
@@ -180,7 +180,8 @@
   LogTerms t = terms();
   t.tombstoneTerm = day;
   Log log(1, t, disk, 1);
-  CHECK(log.append(0, {entry(1, "a", "old", 1), entry(2, "a", "", 2), entry(3, "b", "old", 3), entry(4, "b", "", 3), entry(5, "b", "new", 3), entry(6, "c", "x", 4), entry(7, "d", "x", 5)}));
+  CHECK(log.append(0, {entry(1, "a", "old", 1), entry(2, "a", "", 2), entry(3, "b", "old", 3), entry(4, "b", "", 3),
+      entry(5, "b", "new", 3), entry(6, "c", "x", 4), entry(7, "d", "x", 5)}));
   log.commit(7);
   auto plan = log.worth(1000, 7, 1);
   REQUIRE(plan);
@@ -210,7 +211,8 @@
   Log log(1, t, disk, 1);
   const Ms now = 56 * 365 * day, ahead = now + 36500 * day;
   // A stopped clock wrote at 1970; another at 2100; then right again.
-  CHECK(log.append(0, {entry(1, "a", "1", 5), entry(2, "a", "2", 6), entry(3, "b", "", 7), entry(4, "c", "1", ahead), entry(5, "c", "", ahead), entry(6, "d", "1", now), entry(7, "d", "2", now)}));
+  CHECK(log.append(0, {entry(1, "a", "1", 5), entry(2, "a", "2", 6), entry(3, "b", "", 7),
+      entry(4, "c", "1", ahead), entry(5, "c", "", ahead), entry(6, "d", "1", now), entry(7, "d", "2", now)}));
   log.commit(7);
   auto plan = log.worth(now, 7, 1);
   REQUIRE(plan);
@@ -621,7 +623,8 @@
     for (const auto& [key, e] : then) {
       auto i = f.state.find(key);
       bool same = e->tombstone ? i == f.state.end() : i != f.state.end() && i->second.first == e->offset;
-      if (!same && (exact || later.count(key) == 0)) return wrong(key + (i == f.state.end() ? " lacks" : " is of the past") + " at " + std::to_string(p));
+      if (!same && (exact || later.count(key) == 0))
+        return wrong(key + (i == f.state.end() ? " lacks" : " is of the past") + " at " + std::to_string(p));
     }
     for (const auto& [key, one] : f.state)
       if (then.count(key) == 0) wrong(key + " was never there");
@@ -656,7 +659,8 @@
     for (const auto& [who, one] : asked_)
       if (one.until > now_ && one.after < p->forget) wrong("a tombstone goes that a living subscriber has not passed");
     for (const Entry& e : list_)
-      if (e.tombstone && e.offset <= p->forget && now_ - e.at < log_.tombstoneTerm && keepers_[0].log->at(e.offset)) wrong("a tombstone goes before its term");
+      if (e.tombstone && e.offset <= p->forget && now_ - e.at < log_.tombstoneTerm && keepers_[0].log->at(e.offset))
+        wrong("a tombstone goes before its term");
     for (int k = 0; k < 2; ++k)
       if (to % 4 != static_cast<unsigned>(k)) keepers_[k].log->take(*p);
   }
