--- a/src/record/subscribers.hpp
+++ b/src/record/subscribers.hpp
@@ -4,9 +4,11 @@
 //
 // What it promises: no gap (at each position the subscriber has, of each key, the latest at or below it, or a later one is on its
 // way), no double and no older value after a newer one, whatever is lost, late, doubled, compacted, resumed at another
-// keeper or written meanwhile. Each piece carries a digest and is asked again where it does not fit. One that was away past its lease
-// and is behind `forgotten` is told to start over (its state is void: a recalled object would come back to life), never silently
-// resumed. One too slow for `mostBehind` bytes under way is told so and bounded: it has one piece under way.
+// keeper or written meanwhile. Each piece carries a digest and is asked again where it does not fit. One that was away past its
+// lease and is behind `forgotten` (and began before that was forgotten: Want::clean) is told to start over (its state is void: a
+// recalled object would come back to life), never silently resumed. A slow one has one piece under way, so that nothing piles up
+// for it; what it holds back is tombstones, for as long as its lease runs. A keeper's start forgets its leases: the worst that
+// comes of it is a start-over.
 // Bounds: `mostSubscribers` leases at the writer's front; one piece (pieceBytes) under way a subscriber.
 #pragma once
 #include <functional>
@@ -23,32 +25,40 @@
 struct SubscriberTerms {
   Ms lease = 30000, askEvery = 200, again = 400;
   std::size_t pieceBytes = 32 << 10, mostSubscribers = 1024;
+  Breaks breaks = {};
 };
 
 struct Want {  // subscriber to keeper
   std::uint64_t subscriber = 0, life = 0, number = 0;
   Offset after = 0;       // has all up to and with it; 0: begins
   std::uint32_t streams = 7;  // a bit a stream
+  // The least `forgotten` of the keepers it read from since it began: no value that those tombstones hid is in it.
+  Offset clean = 0;
 };
 struct Piece {
   std::uint64_t number = 0;  // of the question
   Offset after = 0, upTo = 0, committed = 0, snapshot = 0;  // snapshot: S, while a join reads up to it
+  Offset forgotten = 0;  // of the keeper, as it answers
   bool startOver = false;
   std::vector<Entry> entries;
   std::uint64_t digest = 0;  // over all of the above
 };
+std::uint64_t digest(const Piece& p);  // what Piece::digest must be
 struct Lease {  // keeper to the writer's front, gathered: positions of its living subscribers
   std::vector<std::pair<std::uint64_t, Offset>> positions;
 };
 using Saying = std::variant<Want, Piece, Lease>;
 std::string encode(const Saying& s);
+// Nothing for anything that is not one of them, or is out of bounds. A piece's digest is looked at by the subscriber.
 std::optional<Saying> decodeSaying(std::span<const char> bytes);
 
-// A keeper's side: answers from its own log; what it holds of leases is told to the writer by Lease.
+// A keeper's side: answers from its own log; what it holds of leases is told to the writer by Lease. A subscriber's entry is
+// emptied once its lease has run; an entry of a life is taken over by a later life only.
 class Server {
  public:
   Server(Log& log, SubscriberTerms terms, Ms now);
-  std::optional<Piece> wants(Ms now, const Want& want);  // nothing: full of subscribers
+  // Nothing: full of subscribers, a late copy of an earlier question, or this keeper is itself being brought up (Log::whole()).
+  std::optional<Piece> wants(Ms now, const Want& want);
   Lease living(Ms now) const;
   Offset passed(Ms now) const;  // least position of the living; the log's committed offset where there is none
 
@@ -66,14 +76,18 @@
     std::function<void()> startOver;             // all that was told before is void
   };
   // `at`: resumes from what was kept (0: from nothing).
-  Subscriber(std::uint64_t self, std::uint64_t life, std::vector<Id> keepers, SubscriberTerms terms, Offset at, std::uint64_t seed, Ms now);
+  Subscriber(std::uint64_t self, std::uint64_t life, std::vector<Id> keepers, SubscriberTerms terms, Offset at,
+      std::uint64_t seed, Ms now);
   void tick(Ms now, const Out& out);
   void receive(Ms now, Id from, const Piece& piece, const Out& out);
   Offset position() const;
   Offset committed() const;  // the highest told by a keeper
-  bool caughtUp() const;     // position >= what a keeper told as committed, in its last answer, and past the snapshot
-  Ms goodAt() const;         // when the question was asked whose answer last showed it caught up; < 0: never
-  std::uint64_t bytes() const;
+  bool caughtUp() const;     // position >= the highest told as committed, and past the snapshot
+  // When the question was asked whose answer last showed it caught up with a keeper not behind the highest told; < 0: never. A
+  // keeper that is cut off from the writer does not know that it is behind: what it answers is as good as its own news.
+  Ms goodAt() const;
+  std::uint64_t bytes() const;    // of keys and values told, and 40 for each entry
+  std::uint64_t refused() const;  // pieces that did not fit: digest, order, or another place than asked for
 
  private:
   struct Inner;
