--- /dev/null
+++ b/src/drill/client_line.hpp
@@ -0,0 +1,60 @@
+// What a client wants, and the connection to a front that asks for it; for the files of the clients only.
+#pragma once
+#include "drill/cast.hpp"
+
+namespace dunlinwick::drill {
+
+// What a client wants, with all its tries.
+struct Clients::Want {
+  int offering = 0, part = 0, tries = 0;
+  std::string thing;
+  Ms firstAt = 0, ttl = 0;
+  bool hurried = false;  // the one try that crossed a close was sent again
+};
+
+// One connection to a front, one request at a time.
+class Clients::Line final : public loop::Connection::Owner, public std::enable_shared_from_this<Line> {
+ public:
+  Line(Clients& all, std::uint64_t number, int front)
+      : all_(all),
+        number_(number),
+        front_(front),
+        usedAt_(all.loop_.now()),
+        connection_(all.loop_, *this, all.fronts_[static_cast<std::size_t>(front)].at, 1000) {
+    connection_.readUpTo(1 << 18);
+  }
+  ~Line() { all_.loop_.cancel(timer_); }
+  bool idleFor(int front) const {
+    return front_ == front && !want_ && !connection_.isOver() && up_;
+  }
+  bool idleSince(Ms when) const { return !want_ && usedAt_ < when; }
+  bool busy() const { return want_ != nullptr; }
+
+  void ask(std::shared_ptr<Want> want);
+
+  void drained() override;
+  void came() override;
+  void ended(loop::Parting how) override;
+  void shut();
+
+ private:
+  void written();
+  void giveUp();
+  void tell(rules::Deed deed, int status = 0, const std::string& tag = {}, bool whole = false);
+
+  bool readOne();
+
+  bool proper(const std::string& tag, std::string_view body, const Want& want) const;
+
+  Clients& all_;
+  std::uint64_t number_;
+  int front_;
+  bool up_ = false, asked_ = false, answered_ = false, heard_ = false, reused_ = false;
+  Ms usedAt_, sentAt_ = 0;
+  std::uint64_t timer_ = 0;
+  std::string id_;
+  std::shared_ptr<Want> want_;
+  loop::Connection connection_;
+};
+
+}  // namespace dunlinwick::drill
