--- /dev/null
+++ b/tests/sides.hpp
@@ -0,0 +1,97 @@
+// Sides of an exchange that note what they are told, for the tests of the exchange and of the sides.
+#pragma once
+#include "exchange/exchange.hpp"
+#include "kit.hpp"
+#include "sheet/sheet.hpp"
+
+namespace kit {
+
+using exchange::Ask;
+using exchange::LegKey;
+
+inline const std::string id = "9b1f03aa5c7e2d41";
+
+inline sheet::RoadTerms terms(Ms within = 400, Ms idle = 30000) {
+  return {{"video", "write"}, {"hub", "e-1"}, {"box", "parent", "origin"}, {"util"}, within, idle, 100};
+}
+
+inline Ask askFor(const std::string& name = id) {
+  Ask a;
+  a.id = name, a.offering = "video", a.object = "7f3a", a.part = "0", a.ttl = 60000, a.sizeKb = 1000;
+  return a;
+}
+
+// A client side that notes what it is told.
+struct Asked final : exchange::Asker {
+  std::vector<std::string> told;
+  std::string body;
+  void finished(const std::string& tag, std::string bytes) override {
+    told.push_back("200 " + tag), body = bytes;
+  }
+  void unchanged(const std::string& tag) override { told.push_back("304 " + tag); }
+  void declined(Ms retryAfter) override { told.push_back(retryAfter > 0 ? "503 later" : "503"); }
+  void abandoned() override { told.push_back("502"); }
+  void begun(const std::string& tag, std::size_t) override { told.push_back("begun " + tag); }
+  void more(std::string_view bytes) override { body += bytes; }
+  void completed() override { told.push_back("completed"); }
+  void brokeOff() override { told.push_back("broke"); }
+  bool is(const std::vector<std::string>& all) const { return told == all; }
+};
+
+// A caches' side that notes what it is asked for.
+struct Sent final : exchange::CacheSide {
+  struct One {
+    LegKey key;
+    SendLeg how;
+    std::vector<std::uint64_t> avoid;
+  };
+  std::vector<One> sent;
+  std::vector<LegKey> givenUp;
+  std::uint64_t send(LegKey key, const Ask&, const SendLeg& how,
+                     const std::vector<std::uint64_t>& avoid) override {
+    sent.push_back({key, how, avoid});
+    return sent.size();
+  }
+  void giveUp(LegKey key, const Ask&, std::uint32_t) override { givenUp.push_back(key); }
+  void probe(std::uint32_t) override {}
+  void list(const ListEntry&, const std::string&, const loop::Address&) override {}
+  std::vector<std::uint32_t> forgotten;
+  void forget(std::uint32_t cache) override { forgotten.push_back(cache); }
+};
+
+inline exchange::Word said(Ending ending, Remark remark = Remark::none) {
+  exchange::Word w;
+  w.ending = ending, w.remark = remark, w.tag = "t1", w.dated = true;
+  return w;
+}
+
+inline std::vector<exchange::Listed> machines(const std::vector<std::pair<std::string, loop::Address>>& stores) {
+  std::vector<exchange::Listed> all;
+  for (auto& [name, at] : stores)
+    all.push_back({entry(0, name[0] == 'o' ? originKind : storeKind, 1), name, at});
+  return all;
+}
+
+struct Desk {  // an exchange between noted sides
+  loop::Loop loop;
+  exchange::Exchange exchange;
+  Sent caches;
+  explicit Desk(StoreSheet s = kit::sheet(), int stores = 4) : exchange(loop, s, 1) {
+    exchange.meet(caches);
+    std::vector<std::pair<std::string, loop::Address>> all{{"origin", {}}};
+    for (int i = 0; i < stores; ++i) all.push_back({"s-" + std::to_string(i), {}});
+    exchange.listCame(true, machines(all));
+  }
+};
+
+inline std::string get(const std::string& more = "", const std::string& target = "/ops/video/7f3a?part=3") {
+  return "GET " + target + " HTTP/1.1\r\nX-Request-Id: " + id + "\r\nX-Timeout-Ms: 60000\r\nX-Group: 17\r\n" +
+         more + "\r\n";
+}
+
+inline std::string getAs(int which) {  // under an id of its own
+  std::string text = get();
+  return text.replace(text.find(id), id.size(), "00000000000000f" + std::to_string(which));
+}
+
+}  // namespace kit
