The log is spdlog's, by its headers; peers' bytes are escaped, not blotted out

src/log/ keeps its interface (printf-like, checked by the compiler), the limit, the cut at 511 bytes and the clock from outside. Logger, sinks and formatter are spdlog's; its registry, clock and threads take no part. A record is written in fmt's debug form: line ends, controls (C1 and U+2028 too), bytes that are no UTF-8, quotes and backslashes are escaped, so that one record is one line and nobody can write an escape. It was a '?' for each control below 0x20.

--- a/src/log/log.cpp
+++ b/src/log/log.cpp
@@ -1,6 +1,12 @@
 #include "log/log.hpp"
 
+#include <spdlog/details/null_mutex.h>
+#include <spdlog/logger.h>
+#include <spdlog/sinks/base_sink.h>
+#include <spdlog/sinks/stdout_sinks.h>
+
 #include <algorithm>
+#include <chrono>
 #include <cstdarg>
 #include <cstdio>
 #include <string>
@@ -15,18 +21,61 @@
 
 thread_local Log* inUse = nullptr;
 
+// What peers sent may be in it: one line stays one line.
+class OneLine final : public spdlog::formatter {
+ public:
+  void format(const spdlog::details::log_msg& record, spdlog::memory_buf_t& into) override {
+    fmt::memory_buffer quoted;
+    fmt::format_to(fmt::appender(quoted), "{:?}", fmt::string_view(record.payload.data(), record.payload.size()));
+    into.append(quoted.data() + 1, quoted.data() + quoted.size() - 1);
+    into.push_back('\n');
+  }
+  std::unique_ptr<spdlog::formatter> clone() const override { return std::make_unique<OneLine>(); }
+};
+
+class Handed final : public spdlog::sinks::base_sink<spdlog::details::null_mutex> {
+ public:
+  explicit Handed(Log::Writer to) : base_sink(std::make_unique<OneLine>()), to_(std::move(to)) {}
+
+ private:
+  void sink_it_(const spdlog::details::log_msg& record) override {
+    spdlog::memory_buf_t line;
+    formatter_->format(record, line);
+    to_(std::string_view(line.data(), line.size() - 1));
+  }
+  void flush_() override {}
+  Log::Writer to_;
+};
+
+std::shared_ptr<spdlog::logger> loggerTo(spdlog::sink_ptr sink) {
+  auto logger = std::make_shared<spdlog::logger>(std::string(), std::move(sink));
+  logger->set_error_handler([](const std::string&) {});  // the library's own would write lines past the limit
+  return logger;
+}
+
+spdlog::sink_ptr standardError() {
+  auto sink = std::make_shared<spdlog::sinks::stderr_sink_st>();
+  sink->set_formatter(std::make_unique<OneLine>());
+  return sink;
+}
+
 Log& standard() {
-  static Log one([] { return loop::system().now(); },
-                 [](std::string_view line) {
-                   std::fprintf(stderr, "%.*s\n", static_cast<int>(line.size()), line.data());
-                 });
+  static Log one([] { return loop::system().now(); });
   return one;
 }
 
 }  // namespace
 
 Log::Log(Clock clock, Writer to)
-    : clock_(std::move(clock)), to_(std::move(to)), left_(burst), last_(clock_()) {}
+    : clock_(std::move(clock)), to_(loggerTo(std::make_shared<Handed>(std::move(to)))), left_(burst), last_(clock_()) {}
+
+Log::Log(Clock clock) : clock_(std::move(clock)), to_(loggerTo(standardError())), left_(burst), last_(clock_()) {}
+
+void Log::put(std::string_view line) {
+  auto at = std::chrono::duration<double, std::milli>(last_);
+  to_->log(spdlog::log_clock::time_point(std::chrono::duration_cast<spdlog::log_clock::duration>(at)), {}, spdlog::level::info,
+           spdlog::string_view_t(line.data(), line.size()));
+}
 
 void Log::say(std::string_view line) {
   double now = clock_();
@@ -37,17 +86,13 @@
     return;
   }
   --left_;
-  if (unsaid_ > 0) to_(std::to_string(unsaid_).append(" lines left out"));
+  if (unsaid_ > 0) put(std::to_string(unsaid_).append(" lines left out"));
   unsaid_ = 0;
-  // What peers sent may be in it: one line stays one line.
-  std::string plain(line);
-  for (char& c : plain)
-    if (static_cast<unsigned char>(c) < ' ' || c == 127) c = '?';
-  to_(plain);
+  put(line.substr(0, longest));
 }
 
 void say(const char* format, ...) {
-  char line[512];
+  char line[longest + 1];
   va_list args;
   va_start(args, format);
   std::vsnprintf(line, sizeof line, format, args);
--- a/src/log/log.hpp
+++ b/src/log/log.hpp
@@ -1,26 +1,43 @@
-// The one way to say something: a line, rate-limited, to whichever log is in use.
+// The one way to say something: a line, rate-limited, to whichever log is in use. By spdlog, whose logger, sinks and formatter
+// this is made of; neither its registry nor its clock nor a thread of its own takes part.
+//
+// One record is one line of printable characters, whatever a peer's bytes in it: the line is written in fmt's debug form, in
+// which line ends, controls, unprintable characters and bytes that are no UTF-8 are escaped (\n, \x1b, \u{85}), and so
+// are quotes and backslashes, so that nobody can write an escape. A line is cut after `longest` bytes, before that.
 #pragma once
+#include <cstddef>
 #include <functional>
+#include <memory>
 #include <string_view>
 
+namespace spdlog {
+class logger;
+}
+
 namespace dunlinwick::log {
 
-// Where the lines of one process go. Times are milliseconds of the clock that is handed in.
+inline constexpr std::size_t longest = 511;
+
+// Where the lines of one process go. Times are milliseconds of the clock that is handed in. Says at most 200 lines at once and
+// 10 a second after that; what is beyond it is counted, and told before the next line.
 class Log {
  public:
   using Clock = std::function<double()>;
   using Writer = std::function<void(std::string_view line)>;  // without the line's end
   Log(Clock clock, Writer to);
+  explicit Log(Clock clock);  // to standard error, each line by one write
   void say(std::string_view line);
 
  private:
+  void put(std::string_view line);
+
   Clock clock_;
-  Writer to_;
+  std::shared_ptr<spdlog::logger> to_;
   double left_, last_;
   unsigned long unsaid_ = 0;
 };
 
-// Like printf, without the line's end. Lines beyond the limit are counted and told with the next one.
+// Like printf, without the line's end; the compiler checks what is handed in.
 [[gnu::format(printf, 1, 2)]] void say(const char* format, ...);
 
 // While it lives, what this thread says goes to `log`; without one, to standard error by the system's clock.
--- a/tests/json_test.cpp
+++ b/tests/json_test.cpp
@@ -14,6 +14,7 @@
 
 bool good(std::string_view text) { return json::read(text).has_value(); }
 std::string inQuotes(std::string_view inside) { return std::string("\"").append(inside).append("\""); }
+std::string asName(std::string_view inside) { return std::string("{").append(inQuotes(inside)).append(":1}"); }
 
 // Writes by the library what a Value holds.
 void write(const Value& v, rapidjson::Writer<rapidjson::StringBuffer>& w) {
@@ -119,12 +120,12 @@
   for (const std::string& inside : {"\x80"s, "\xff"s, "\xc3"s, "\xc0\x80"s, "\xe2\x82"s,
                                     "\xed\xa0\x80"s, "\xf4\x90\x80\x80"s, "\xf8\x88\x80\x80\x80"s}) {
     CHECK(!good(inQuotes(inside)));
-    CHECK(!good("{" + inQuotes(inside) + ":1}"));
+    CHECK(!good(asName(inside)));
   }
   for (const char* inside : {R"(\udc00)", R"(\ud83d)", R"(\ud83dx)", R"(\ud83d\u0041)",
                              R"(\ude00\ud83d)", R"(\u12)", R"(\u00g0)", R"(\x41)", R"(\')"}) {
     CHECK_MESSAGE(!good(inQuotes(inside)), inside);
-    CHECK_MESSAGE(!good("{" + inQuotes(inside) + ":1}"), inside);
+    CHECK_MESSAGE(!good(asName(inside)), inside);
   }
   CHECK(json::read(R"("\u0000")")->text == "\0"s);
   CHECK(json::read("\"\\ud7ff\xed\x9f\xbf\"")->text == "\xed\x9f\xbf\xed\x9f\xbf");
--- /dev/null
+++ b/tests/log_test.cpp
@@ -0,0 +1,155 @@
+// The log: its limit, whose it is, and that no bytes from a peer make a line of their own.
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <cstdlib>
+#include <string>
+#include <vector>
+
+#include "log/log.hpp"
+
+using namespace dunlinwick;
+using namespace std::string_literals;
+
+namespace {
+
+struct Kept {
+  double now = 1e12;
+  std::vector<std::string> lines;
+  log::Log log{[this] { return now; }, [this](std::string_view line) { lines.emplace_back(line); }};
+  std::string of(std::string_view line) {
+    lines.clear(), now += 1000;
+    log.say(line);
+    REQUIRE(lines.size() == 1);
+    return lines[0];
+  }
+};
+
+// What a terminal or a reader of lines may take for an end, or for an order.
+bool plain(std::string_view line) {
+  for (char c : line)
+    if (static_cast<unsigned char>(c) < ' ' || c == 127) return false;
+  for (std::string_view bad : {"\xe2\x80\xa8", "\xe2\x80\xa9"})  // line and paragraph separators
+    if (line.find(bad) != line.npos) return false;
+  for (std::size_t at = line.find('\xc2'); at != line.npos; at = line.find('\xc2', at + 1))  // C1 controls, NEL among them
+    if (at + 1 < line.size() && static_cast<unsigned char>(line[at + 1]) < 0xa0) return false;
+  return true;
+}
+
+// Undoes the escapes of bytes below 0x80 and of one byte each.
+std::string undone(std::string_view line) {
+  std::string all;
+  for (std::size_t i = 0; i < line.size(); ++i) {
+    if (line[i] != '\\') {
+      all += line[i];
+      continue;
+    }
+    char c = line[++i];
+    if (c == 'x') all += static_cast<char>(std::stoi(std::string(line.substr(i + 1, 2)), nullptr, 16)), i += 2;
+    else all += c == 'n' ? '\n' : c == 'r' ? '\r' : c == 't' ? '\t' : c;
+  }
+  return all;
+}
+
+// Bytes as a hostile peer picks them.
+rc::Gen<std::string> hostile() {
+  return rc::gen::container<std::string>(rc::gen::weightedOneOf<char>(
+      {{2, rc::gen::elementOf("\n\r\t\v\f\x1b\x7f\\\"x0an\xc2\x85\x9b\xe2\x80\xa8\xa9\xff"s)}, {1, rc::gen::arbitrary<char>()}}));
+}
+
+}  // namespace
+
+TEST_CASE("a plain line stays as it is") {
+  Kept k;
+  CHECK(k.of("cache-1: silent; its connection ends, 3 open") == "cache-1: silent; its connection ends, 3 open");
+  CHECK(k.of("caf\xc3\xa9 serves") == "caf\xc3\xa9 serves");
+  CHECK(k.of("") == "");
+}
+
+TEST_CASE("what could end a line or give an order is escaped, and an escape can't be written") {
+  Kept k;
+  CHECK(k.of("a\nb\r\tc") == "a\\nb\\r\\tc");
+  CHECK(k.of("\x1b[2J\x7f"s + '\0') == "\\x1b[2J\\x7f\\x00");
+  CHECK(k.of("a\\nb \"q\"") == "a\\\\nb \\\"q\\\"");
+  CHECK(plain(k.of("\xc2\x85 \xc2\x9b \xe2\x80\xa8 \xe2\x80\xa9")));
+  CHECK(k.of("\xff\xc3") == "\\xff\\xc3");
+}
+
+TEST_CASE("no bytes make two lines, nor a line that another's bytes would make") {
+  CHECK(rc::check("one record, one line", [] {
+    std::string bytes = *hostile();
+    Kept k;
+    log::Use use(k.log);
+    log::say("%.*s", static_cast<int>(bytes.size()), bytes.data());
+    RC_ASSERT(k.lines.size() == 1u);
+    RC_ASSERT(plain(k.lines[0]));
+  }));
+  CHECK(rc::check("what is escaped can be told from what is not", [] {
+    std::string bytes = *rc::gen::container<std::string>(rc::gen::inRange<char>(0, 127));
+    Kept k;
+    k.log.say(bytes);
+    RC_ASSERT(undone(k.lines.at(0)) == bytes);
+  }));
+}
+
+TEST_CASE("a line has a bound before it is escaped, and one after") {
+  Kept k;
+  CHECK(k.of(std::string(5000, 'a')) == std::string(log::longest, 'a'));
+  CHECK(k.of(std::string(5000, '\n')).size() == 2 * log::longest);
+  CHECK(k.of(std::string(5000, '\xff')).size() == 4 * log::longest);
+  log::Use use(k.log);
+  k.lines.clear();
+  log::say("%s", std::string(5000, 'b').c_str());
+  CHECK(k.lines.at(0) == std::string(log::longest, 'b'));
+}
+
+TEST_CASE("200 at once, then 10 a second; what is left out is told") {
+  Kept k;
+  for (int i = 0; i < 250; ++i) k.log.say("x");
+  CHECK(k.lines.size() == 200);
+  k.now += 99;
+  k.log.say("y");
+  CHECK(k.lines.size() == 200);
+  k.now += 2;
+  k.log.say("z");
+  REQUIRE(k.lines.size() == 202);
+  CHECK(k.lines[200] == "51 lines left out");
+  CHECK(k.lines[201] == "z");
+  k.now += 1e9;
+  k.lines.clear();
+  for (int i = 0; i < 250; ++i) k.log.say("x");
+  CHECK(k.lines.size() == 200);
+}
+
+TEST_CASE("lines go to the log in use, and back to the one before it") {
+  Kept one, two;
+  log::Use a(one.log);
+  log::say("%d", 1);
+  {
+    log::Use b(two.log);
+    log::say("%s", "2");
+  }
+  log::say("%d", 3);
+  CHECK(one.lines == std::vector<std::string>{"1", "3"});
+  CHECK(two.lines == std::vector<std::string>{"2"});
+}
+
+TEST_CASE("without one they go to standard error, each by one write") {
+  int ends[2], before = ::dup(2);
+  REQUIRE(::pipe2(ends, O_DIRECT) == 0);  // a pipe that keeps writes apart
+  ::dup2(ends[1], 2);
+  log::say("a%sb", "\nforged");
+  log::say("%s", "second");
+  ::dup2(before, 2);
+  ::close(before), ::close(ends[1]);
+  char buffer[4096];
+  ssize_t got = ::read(ends[0], buffer, sizeof buffer);
+  CHECK(std::string(buffer, static_cast<std::size_t>(got)) == "a\\nforgedb\n");
+  got = ::read(ends[0], buffer, sizeof buffer);
+  CHECK(std::string(buffer, static_cast<std::size_t>(got)) == "second\n");
+  CHECK(::read(ends[0], buffer, sizeof buffer) == 0);
+  ::close(ends[0]);
+}
