Counters are printed as Prometheus' text exposition, by prometheus-cpp's core

Need: hand-written plumbing gives way to libraries; a scraper of logs or a reader can take the counters as they are.

Front::counters() gives the exposition (src/front/exposition.cpp: a Collectable over the plain integers, serialized where it is printed). SIGUSR1 and the end print it, as before; no listener, no registry. Counting stays a plain addition.

--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -7,6 +7,7 @@
 #include <cerrno>
 #include <csignal>
 
+#include "front/exposition.hpp"
 #include "log/log.hpp"
 
 namespace dunlinwick::front {
@@ -87,27 +88,7 @@
   loop_.at(loop_.now() + look, [this] { leaveWhenDone(); });
 }
 
-std::string Front::counters() const {
-  const exchange::Counters& c = exchange_.counters;
-  std::string line = "counters:";
-  auto add = [&](const char* name, std::uint64_t count) {
-    line.append(" ").append(name).append("=").append(std::to_string(count));
-  };
-  add("pulls", c.pulls), add("finished", c.finished), add("unchanged", c.unchanged);
-  add("declined", c.declined), add("abandoned", c.abandoned), add("left", c.left);
-  add("broken_midway", c.brokenMidway), add("legs", c.legs), add("fills", c.fills);
-  add("legs_finished", c.legsFinished), add("misses", c.misses), add("full", c.full);
-  add("errors", c.errors), add("timed_out", c.timedOut), add("never_ran", c.neverRan);
-  add("broken", c.broken), add("cancelled", c.cancelled), add("moot", c.moot), add("late", c.lateAnswers);
-  add("probes", c.probes), add("probes_answered", c.probesAnswered), add("calls", c.calls);
-  add("client_connections", c.clientConnections), add("cache_connections", c.cacheConnections);
-  add("reloads", c.reloads), add("board_connections", c.boardConnections), add("list_news", c.listNews),
-      add("purges", c.purges);
-  add("bad_requests", c.badRequests), add("bad_lines", c.badLines), add("stalled", c.stalled),
-      add("silent", c.silent), add("bad_notices", c.badNotices);
-  add("short_of_descriptors", c.shortOfDescriptors);
-  return line;
-}
+std::string Front::counters() const { return exposition(exchange_.counters); }
 
 // ---- signals, by a pipe that the loop watches
 
@@ -152,7 +133,7 @@
     char byte = 0;
     bool again = false;
     while (::read(from_.get(), &byte, 1) == 1)
-      if (byte == SIGUSR1) std::fprintf(stderr, "%s\n", front_->counters().c_str());
+      if (byte == SIGUSR1) std::fputs(front_->counters().c_str(), stderr);
       else if (byte == SIGHUP) again = true;  // several that wait are one: the file is read after all of them
       else front_->stop();
     if (again) reread();
@@ -183,7 +164,7 @@
   signals.reach(front);
   log::say("%s serves", charter.name.c_str());
   loop.run();
-  std::fprintf(stderr, "%s\n", front.counters().c_str());
+  std::fputs(front.counters().c_str(), stderr);
   return 0;
 }
 
--- /dev/null
+++ b/tests/exposition_test.cpp
@@ -0,0 +1,48 @@
+// The counters as Prometheus reads them: every one told once, with its type and help, and its exact number.
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <doctest/doctest.h>
+
+#include <cstring>
+#include <map>
+#include <set>
+#include <sstream>
+
+#include "front/exposition.hpp"
+
+using namespace dunlinwick;
+
+TEST_CASE("each counter is told once, with help and type before it") {
+  exchange::Counters c;
+  constexpr std::size_t many = sizeof c / sizeof(exchange::Counters::Count);
+  exchange::Counters::Count numbers[many];
+  for (std::size_t i = 0; i < many; ++i) numbers[i] = 9007199254740000u + i;  // whole in a double, and each another's
+  std::memcpy(&c, numbers, sizeof c);
+  std::istringstream text(front::exposition(c));
+  std::map<std::string, double> told;
+  std::set<std::string> helped, typed;
+  for (std::string line; std::getline(text, line);) {
+    std::istringstream words(line);
+    std::string first, second, name;
+    words >> first;
+    if (first == "#") {
+      words >> second >> name;
+      CHECK((second == "HELP" ? helped : typed).insert(name).second);
+      if (second == "TYPE") CHECK(line.ends_with(" counter"));
+      continue;
+    }
+    double value = 0;
+    REQUIRE((words >> value));
+    CHECK(helped.count(first) == 1);
+    CHECK(typed.count(first) == 1);
+    CHECK(told.emplace(first, value).second);
+  }
+  CHECK(told.size() == many);
+  std::set<double> values;
+  for (auto& [name, value] : told) values.insert(value);
+  CHECK(values.size() == many);
+  CHECK(*values.begin() == static_cast<double>(numbers[0]));
+  CHECK(*values.rbegin() == static_cast<double>(numbers[many - 1]));
+  CHECK(told.at("dunlinwick_pulls_total") == static_cast<double>(c.pulls));
+  CHECK(told.at("dunlinwick_late_total") == static_cast<double>(c.lateAnswers));
+  CHECK(told.at("dunlinwick_reloads_total") == static_cast<double>(c.reloads));
+}
