Recovery after a power loss: trust, floors, phases and letting in, with a seeded rig

A fleet that loses its power comes back in phases; each front trusts floors, not its own disk's present.

--- a/src/recovery/recovery.hpp
+++ b/src/recovery/recovery.hpp
@@ -7,9 +7,9 @@
 //   store     own store checked (digests, whose it is, holes)             -> neighbours
 //   neighbours heard: who kept running, who came back; floors gathered    -> group
 //   group     elected, or founded anew where all stores are gone          -> record
-//   record    caught up to what a majority tells as committed             -> rules
+//   record    caught up to what a majority tells as committed, and no lower than the offset a majority witnessed -> rules
 //   rules     active rules are the approved ones                          -> letting in
-//   lettingIn pulls let in by zone and class, by steps that cold parents and caches bear over all fronts -> whole
+//   lettingIn pulls let in by zone and class, by steps that cold parents and caches bear over all fronts; record caught up -> whole
 //   whole     all is let in
 // A front that starts into a fleet that kept running passes through quickly; a fleet that lost all power starts slowly, since caches
 // are cold and nobody knows the rest. A front never goes back but by a loss of its own or of the majority: then from `neighbours`,
@@ -21,7 +21,9 @@
 // their ticket's rule alone: the front that answered is gone, so nothing is resumed.
 //
 // Sources: FoundationDB's recovery (an epoch ends before the next begins; a majority, not one disk, decides what survives);
-// Chubby's and Raft's restart rules. Bounds: one row a front of the fleet.
+// Chubby's and Raft's restart rules. Bounds: one row a front of the fleet. A turn says
+// hello to all up to 17 fronts, else to a quarter of them, so that each is told once a second; the first of a life to all. Nobody
+// speaks once all that are heard are whole. A row is forgotten as a presence after `forget`; its floors last as long as this process.
 #pragma once
 #include <cstdint>
 #include <map>
@@ -55,8 +57,11 @@
   std::uint64_t rulesDigest = 0, rulesVersion = 0;
 };
 struct StoreSeen {
-  enum class State : std::uint8_t { none, empty, good, holed, foreign, older } state = State::none;  // none: set up without one
+  // none: set up without one; spoilt: found out by what the others say
+  enum class State : std::uint8_t { none, empty, good, holed, foreign, older, spoilt } state = State::none;
   Floors floors;
+  Id whose = 0;                          // by its own word; another's than ours: foreign, whatever `state` says
+  std::map<Id, std::uint64_t> witnessed;  // incarnations of other fronts that this disk has seen: each front's witness of the rest
 };
 
 // What fronts tell each other while any of them is not whole (Channel::recovery).
@@ -65,40 +70,68 @@
   Ms up = 0;                    // for how long
   Phase phase = Phase::store;
   StoreSeen::State store = StoreSeen::State::none;
-  Floors floors;                // the highest it has on disk, or heard of
+  Floors floors;                // on its own trusted disk, or told by the group since; never hearsay, which one bad disk could spread
   std::uint64_t committed = 0;  // of the record, as it knows
   bool groupLeads = false, groupMember = false;
   int zone = 0;
   double carries = 0;           // the share of its usual pulls that it lets in
+  std::uint64_t ofYou = 0;      // the incarnation that the sender's disk has seen of the front it speaks to; 0: none
 };
+constexpr std::size_t mostHelloBytes = 256;
 std::string encode(const Hello& h);
-std::optional<Hello> decode(std::span<const char> bytes);
+std::optional<Hello> decode(std::span<const char> bytes);  // nothing where longer, unreadable, or a field is outside its range
 
 struct Terms {
-  int fronts = 1, zones = 1, zone = 0;
+  int zones = 1, zone = 0;
+  int crew = 1;  // fronts of this zone; above 1, a front passes quickly only beside one of its own zone that kept running
   Ms helloEvery = 250, forget = 3000;  // a neighbour not heard for so long is not counted
   Ms lease = 3000, margin = 200;
   double drift = 0.01;                 // leases from before are waited out: lease * (1 + drift) + margin
   // A loss is of the whole where a majority of the fleet has been up for less than `young`.
   Ms young = 60000;
-  Ms neighboursAtMost = 5000, groupAtMost = 30000, recordAtMost = 30000, rulesAtMost = 10000;
+  Ms storeAtMost = 5000, neighboursAtMost = 5000, groupAtMost = 30000, recordAtMost = 30000, rulesAtMost = 10000;
+  // How far a sound disk may be ahead of what a majority knows: more is a spoilt one.
+  std::uint64_t aheadTokens = 1000, aheadOffsets = 100000;
   // Letting in: from `first` of the usual by steps of `grow`, each `stepEvery`, while nothing behind is crowded; back by half where
-  // it is. Derived at start from the sheet's cold terms and capacities.
+  // it is, once a step at most. Above three quarters of where it was last crowded it grows by a quarter of a step. `fit` derives
+  // them at start from the sheet's cold terms. After `lettingInAtMost` crowding no longer halves: it is the module's, as on any day.
   double first = 0.1, grow = 1.3, least = 0.02;
-  Ms stepEvery = 500;
+  Ms stepEvery = 500, lettingInAtMost = 120000;
+  Ms comeBack = 2000;          // told to what is declined meanwhile
   std::vector<double> payoff;  // by offering: classes are let in in order of payoff for their work
+  std::vector<double> work;    // by offering: its part of the usual work; empty: alike
   std::vector<bool> certain;   // by offering: may be served whatever the record says (never kept, or fresh for less than a recall's term)
 };
 
+// First step for parents that start at `from` of their capacity, where caches usually miss `usualMiss` of the work and now all of it:
+// half of what they bear if every front comes at once.
+Terms fit(Terms terms, double from, double usualMiss);
+// Once faults are over (power, links, board and group there; nothing behind crowded for good): every front is whole within this.
+Ms whole(const Terms& terms);
+Ms atMost(Phase phase, const Terms& terms);  // 0: without end
+struct PhaseLine {  // the table of phases; docs/operators/power-loss.md says the same and a test compares them
+  Phase phase;
+  const char* on;      // what lets the front on
+  const char* served;  // meanwhile
+  const char* then;    // when its time is over
+};
+std::span<const PhaseLine> phaseTable();
+
 // ---- what happened
 struct StoreChecked { StoreSeen seen; };
 struct Heard { Id from = 0; Hello hello; };
+// `token`: the last one granted, as a majority of the group has it; below floors().token the group is not gone by (it must found higher).
+// `lost`: its majority is gone, not merely its leader.
 struct GroupNow { bool member = false, leaderKnown = false, founded = false, lost = false; std::uint64_t token = 0; };
 struct RecordNow { std::uint64_t position = 0, committed = 0; bool caughtUp = false; Ms goodAt = -1; bool on = false; };
 struct RulesNow { bool on = false, inStep = false; std::uint64_t version = 0, digest = 0; };
-struct Behind { bool crowded = false; };  // what lies behind (parents, head office, cold caches) shows that it is full
+// What lies behind (parents, head office, cold caches) shows that it is full; most of this zone's caches, or of the parents, started
+// lately as the list tells.
+struct Behind { bool crowded = false, cold = false; };
+// The incarnation that this front says now. What others witness from its first on is of this life, and nothing against the disk.
+struct Said { std::uint64_t incarnation = 0; };
 struct Tick {};
-using Event = std::variant<StoreChecked, Heard, GroupNow, RecordNow, RulesNow, Behind, Tick>;
+using Event = std::variant<StoreChecked, Heard, GroupNow, RecordNow, RulesNow, Behind, Said, Tick>;
 
 // ---- what is to be done
 struct Say { Id to = 0; Hello hello; };
@@ -106,6 +139,7 @@
 struct Admit {                      // fact for the module
   std::vector<double> byOffering;   // share of pulls let in; empty: all
   bool certainOnly = false;         // what can't be sure to be current is declined
+  Ms comeBack = 0;                  // with this time to come back
 };
 struct Loss { bool whole = false; int back = 0, kept = 0; std::string lost; };  // told once it is known, aloud
 struct Spoilt { Id whose = 0; std::string why; };                              // a disk found to be old or another's
@@ -118,8 +152,14 @@
   std::vector<Action> handle(Ms now, const Event& event);
   Phase phase() const;
   Ms since() const;           // of the phase
-  Floors floors() const;      // the highest known by anybody: what this front's own word must be above
+  // The highest known by any disk not found spoilt: what this front's own word must be above. Where a majority's disks are sound, a
+  // claim further above what a majority knows than a sound disk can be is left out.
+  Floors floors() const;
+  bool certainOnly() const;
   bool mayOwn(Ms now) const;  // every lease from before has surely run out, and the phase is past `group`
+  // Whether a group without its log may be founded anew, or its token and offset raised, from above floors(): the disks of a majority
+  // of the fleet were heard, sound enough to judge each other by, or all were, or half of the group's time is over.
+  bool mayFound(Ms now) const;
   double carries() const;
   Ms wakeAt() const;
 
--- /dev/null
+++ b/src/rig/recoverysim.hpp
@@ -0,0 +1,111 @@
+// A fleet losing its power and coming back, emulated on a virtual clock: each front's very Recovery machine, and small models of what
+// it asks (the group's election and log, the record's positions, rules versions, a disk each with faults) and of what lies behind
+// (zone caches that warm with what is filled, cold parents whose capacity grows with their warmth as coldTerms in src/logic.cpp has it,
+// head office, a board that may be down). No sockets, no libraft. One seed is one schedule, replayed exactly.
+#pragma once
+#include <deque>
+#include <memory>
+#include <random>
+
+#include "recovery/recovery.hpp"
+
+namespace dunlinwick::rig {
+
+using recovery::Id;
+using recovery::Ms;
+
+enum class Fault { all, zone, allButOne, staggered, again, stores, allStores, clocks, board, partition, alone, mixed };
+constexpr int faultKinds = 12;
+const char* word(Fault f);
+
+struct RecoveryBreaks {  // each a way to be wrong, for the judge to catch
+  bool ownDisk = false;  // own disk believed over the majority
+  bool lease = false;    // a lease from before believed after the loss
+  bool atOnce = false;   // all pulls let in at once
+  bool skip = false;     // a front whose store is good skips phases
+  bool foreign = false;  // another's disk taken
+  bool untold = false;   // loss not told
+};
+struct RecoverySimTerms {
+  int fronts = 7, zones = 3, group = 3;
+  recovery::Terms each;
+  Ms tick = 50, longest = 600000;
+  double parentFrom = 0.3, usualMiss = 0.1, spare = 2;  // capacity at start; of pulls with warm caches; of usual fills when warm
+  Ms parentLasts = 30000;
+  double cacheHolds = 1000;  // ms of a front's usual pulls, all filled, that warm its part of the zone's caches to 63%
+  bool bytes = true;         // hellos go through their bytes
+  RecoveryBreaks breaks;
+};
+RecoverySimTerms usual(int fronts, int zones);
+
+// What the judge reads: what happened, by the rig's own knowledge.
+struct Seen {
+  enum class What { power, entered, admit, loss, spoilt, grant, committed, level, lost } what;
+  Ms at = 0;
+  Id front = 0;
+  recovery::Phase phase = recovery::Phase::store;
+  bool byTime = false, certainOnly = false, current = false;  // current: its record was truly caught up in this life
+  bool bad = false;       // its disk is another's, old or flipped, and is still believed
+  std::uint64_t number = 0, floor = 0, ceiling = 0;  // token or offset; known to a majority's disks; highest ever true
+  Ms leaseOver = 0;       // of a grant: when the last lease from before runs out
+  double value = 0;       // level of the parents
+  std::string why = {};
+};
+struct RecoveryRun {
+  std::vector<Seen> seen;
+  std::vector<std::string> faults;
+  recovery::Terms terms;
+  Ms faultsOver = 0, end = 0;
+  bool allWhole = false, allStoresLost = false, wholeLoss = false;
+  // For the bench: from the (last) return of power on.
+  Ms firstSafe = -1, goodput95 = -1;
+  double peakOffice = 0, usualOffice = 0;
+};
+
+class RecoverySim {
+ public:
+  RecoverySim(RecoverySimTerms terms, std::uint64_t seed);
+  ~RecoverySim();
+  RecoveryRun run(Fault fault);
+  bool lateStopped = true;  // end as soon as all are whole; false: run on until goodput is back
+
+ private:
+  struct Front;
+  struct Group;
+  struct Flight {
+    Ms at;
+    Id from, to;
+    std::string bytes;
+    recovery::Hello hello;
+  };
+  void up(Front& f);
+  void down(Front& f);
+  void spoil(Fault fault);
+  void act(Front& f, std::vector<recovery::Action> actions);
+  void give(Front& f, recovery::Event e);
+  void groupTurn();
+  void frontTurn(Front& f);
+  void behindTurn();
+  bool reach(const Front& a, const Front& b) const;
+  double unit() { return std::uniform_real_distribution<double>(0, 1)(random_); }
+  Ms between(Ms a, Ms b) { return a + (b - a) * unit(); }
+
+  RecoverySimTerms terms_;
+  std::knuth_b random_;
+  Ms now_ = 0;
+  std::vector<std::unique_ptr<Front>> fronts_;
+  std::unique_ptr<Group> group_;
+  std::deque<std::vector<Flight>> flights_;  // by tick
+  std::vector<double> warm_;                 // by zone
+  std::vector<Ms> zoneSince_;                // start of its caches
+  Ms parentsSince_ = -1e9;
+  double parentsWarm_ = 1;
+  std::deque<bool> crowded_;
+  bool crowdedNow_ = false;
+  Ms boardDownUntil_ = -1, powerBack_ = -1;
+  std::uint64_t knownToken_ = 0, knownOffset_ = 0;  // by a majority's disks, when power went
+  double worst_ = 0;
+  RecoveryRun run_;
+};
+
+}  // namespace dunlinwick::rig
