--- a/src/recovery/recovery.cpp
+++ b/src/recovery/recovery.cpp
@@ -73,7 +73,7 @@
   RulesNow rules;
   bool haveRules = false;
   std::uint64_t firstSaid = 0;  // 0: nothing yet
-  bool cold = false;
+  std::optional<bool> cold;
   bool lossTold = false, wholeLoss = false;
   Loss last;
   LettingIn letting;
@@ -95,19 +95,30 @@
   bool fresh(const Row& r, Ms now) const { return r.ever && now - r.at <= terms.forget; }
   // Its age now: what it said, and the time since.
   bool young(const Row& r, Ms now) const { return r.hello.up + (now - r.at) < terms.young; }
+  // Heard, and its store was looked at: before that its word says nothing of floors.
   std::size_t present(Ms now) const {
-    return 1 + static_cast<std::size_t>(std::count_if(rows.begin(), rows.end(), [&](auto& r) { return fresh(r.second, now); }));
+    auto is = [&](auto& r) { return fresh(r.second, now) && r.second.hello.phase > Phase::store; };
+    return 1 + static_cast<std::size_t>(std::count_if(rows.begin(), rows.end(), is));
   }
+  bool spoke(const Row& r) const { return r.ever && r.hello.phase > Phase::store; }
+  // Disks that were heard are all there are, or so many are sound that they can judge each other.
+  bool firm() const {
+    std::size_t heard = 1, sounds = sound(seen.state) ? 1 : 0;
+    for (auto& [id, r] : rows) heard += spoke(r), sounds += spoke(r) && sound(r.hello.store);
+    return heard == fronts.size() || sounds >= majority();
+  }
+  // Own disk weighed against the others' (or nothing on it to be wrong); after a while without so many, as good as can be had.
+  bool judged(Ms now) const { return !sound(seen.state) || firm() || now - started >= terms.neighboursAtMost + terms.groupAtMost; }
   bool groupGood() const { return haveGroup && group.leaderKnown && group.token >= floors.token; }
   bool certainOnly() const { return phase < Phase::lettingIn || !caught; }
 
   // The fleet kept running and so did somebody of this zone: what lies behind is warm.
   bool quick(Ms now) const {
     std::size_t kept = 0;
-    bool zone = terms.crew <= 1;
+    bool zone = cold ? !*cold : terms.crew <= 1;
     for (auto& [id, r] : rows)
-      if (fresh(r, now) && r.hello.phase == Phase::whole && !young(r, now)) ++kept, zone = zone || r.hello.zone == terms.zone;
-    return zone && !cold && !wholeLoss && kept >= std::min(majority(), std::max<std::size_t>(1, rows.size()));
+      if (fresh(r, now) && r.hello.phase == Phase::whole && !young(r, now)) ++kept, zone = zone || (!cold && r.hello.zone == terms.zone);
+    return zone && !wholeLoss && kept >= std::min(majority(), std::max<std::size_t>(1, rows.size()));
   }
 
   Hello hello(Id to, Ms now) const {
@@ -138,12 +149,15 @@
 
   void enter(Ms now, Phase p, std::string why, bool byTime = false) {
     phase = p, since = now;
-    if (p == Phase::lettingIn) letting.begin(now);
+    if (p == Phase::lettingIn) {
+      if (!quick(now)) letting.again();  // one that kept running had let in all; what lies behind may be cold now
+      letting.begin(now);
+    }
     out.push_back(Entered{p, std::move(why), byTime});
   }
 
   void back(Ms now, const std::string& why) {
-    caught = false;
+    caught = haveRecord = haveRules = false;  // what was told of a record and rules before is not gone by
     if (phase > Phase::neighbours) enter(now, Phase::neighbours, why);
   }
 
@@ -162,7 +176,7 @@
     auto before = others;  // what they have seen of earlier lives
     if (firstSaid > 0)
       for (Claim& c : before)
-        if (c.ofUs >= firstSaid) c.ofUs = 0;
+        if (c.ofUs >= firstSaid && c.ofUs <= told.incarnation) c.ofUs = 0;
     auto own = [&] { return Claim{seen.state, seen.floors, 0}; };
     if (!spoilt)
       if (std::string why = foundOut(before, own(), fronts.size(), terms); !why.empty()) distrust(now, State::spoilt, self, why);
@@ -183,7 +197,6 @@
     }
     wholeLoss = wholeLoss || static_cast<std::size_t>(l.back) >= majority();
     l.whole = wholeLoss;
-    if (l.whole && !last.whole && phase != Phase::whole) letting.again();  // it may have let in all, and what lies behind is cold now
     if (l.whole && !anySound) l.lost = "no front heard has a sound store: rules, record and tokens from before are gone";
     else if (l.whole && haveGroup && group.founded) l.lost = "the group's log is gone: founded anew above the floors of the stores that are left";
     if (lossTold && l.whole == last.whole && l.lost == last.lost) return;
@@ -201,7 +214,7 @@
         return false;
       case Phase::neighbours: {
         std::size_t n = present(now);
-        bool enough = n >= majority() && (n == fronts.size() || quick(now) || now - since >= 4 * terms.helloEvery);
+        bool enough = n >= majority() && (n == fronts.size() || (firm() && (quick(now) || now - since >= 4 * terms.helloEvery)));
         if (!enough && !over(now)) return false;
         bool byTime = n < majority();
         enter(now, Phase::group, std::to_string(n) + " of " + std::to_string(fronts.size()) + " fronts are there", byTime);
@@ -266,7 +279,7 @@
   void on(Ms, const RecordNow& e) { record = e, haveRecord = true; }
   void on(Ms, const RulesNow& e) { rules = e, haveRules = true; }
   void on(Ms now, const Behind& e) {
-    cold = e.cold;
+    if (e.cold) cold = e.cold;
     if (e.crowded && phase != Phase::whole) letting.crowded(now, phase != Phase::lettingIn || !over(now));
   }
   void on(Ms, const Said& e) {
@@ -280,7 +293,7 @@
     bool later = std::holds_alternative<Heard>(event) && fronts.size() > heardAtOnceUpTo;
     if (!later) {
       if (dirty) weigh(now);
-      if (haveRecord && (!record.on || (record.caughtUp && groupGood() && record.committed >= floors.offset))) {
+      if (haveRecord && (!record.on || (record.caughtUp && groupGood() && judged(now) && record.committed >= floors.offset))) {
         caught = true;
         if (record.on && record.committed > told.offset) told.offset = record.committed, floors.offset = std::max(floors.offset, told.offset);
       }
@@ -306,10 +319,9 @@
 
 bool Recovery::mayFound(Ms now) const {
   const Inner& i = *inner_;
-  std::size_t heard = 1, firm = sound(i.seen.state) ? 1 : 0;
-  for (auto& [id, r] : i.rows) heard += r.ever, firm += r.ever && sound(r.hello.store);
-  if (i.phase < Phase::group || heard < i.majority()) return false;
-  return heard == i.fronts.size() || firm >= i.majority() || now - i.since >= i.terms.groupAtMost / 2;
+  std::size_t heard = 1;
+  for (auto& [id, r] : i.rows) heard += i.spoke(r);
+  return i.phase >= Phase::group && heard >= i.majority() && (i.firm() || now - i.since >= i.terms.groupAtMost / 2);
 }
 
 bool Recovery::mayOwn(Ms now) const { return now >= inner_->ownAfter && inner_->phase > Phase::group && inner_->groupGood(); }
--- a/src/recovery/recovery.hpp
+++ b/src/recovery/recovery.hpp
@@ -83,7 +83,7 @@
 
 struct Terms {
   int zones = 1, zone = 0;
-  int crew = 1;  // fronts of this zone; above 1, a front passes quickly only beside one of its own zone that kept running
+  int crew = 1;  // fronts of this zone; above 1 and with no word of the list, a front passes quickly only beside one of it that kept running
   Ms helloEvery = 250, forget = 3000;  // a neighbour not heard for so long is not counted
   Ms lease = 3000, margin = 200;
   double drift = 0.01;                 // leases from before are waited out: lease * (1 + drift) + margin
@@ -125,10 +125,11 @@
 struct GroupNow { bool member = false, leaderKnown = false, founded = false, lost = false; std::uint64_t token = 0; };
 struct RecordNow { std::uint64_t position = 0, committed = 0; bool caughtUp = false; Ms goodAt = -1; bool on = false; };
 struct RulesNow { bool on = false, inStep = false; std::uint64_t version = 0, digest = 0; };
-// What lies behind (parents, head office, cold caches) shows that it is full; most of this zone's caches, or of the parents, started
-// lately as the list tells.
-struct Behind { bool crowded = false, cold = false; };
-// The incarnation that this front says now. What others witness from its first on is of this life, and nothing against the disk.
+// What lies behind (parents, head office, cold caches) shows that it is full; `cold`: whether most of this zone's
+// caches, or of the parents, started lately, as the list tells; absent where the board has not told since the start.
+struct Behind { bool crowded = false; std::optional<bool> cold; };
+// The incarnation that this front says now. What others witness between its first and its last is of this life, and nothing
+// against the disk.
 struct Said { std::uint64_t incarnation = 0; };
 struct Tick {};
 using Event = std::variant<StoreChecked, Heard, GroupNow, RecordNow, RulesNow, Behind, Said, Tick>;
--- a/src/rig/recoverysim.cpp
+++ b/src/rig/recoverysim.cpp
@@ -281,7 +281,8 @@
     give(f, GroupNow{f.id <= static_cast<Id>(terms_.group), linked, linked && g.founded, lost, linked ? g.token : 0});
     give(f, RecordNow{f.position, linked ? g.offset : 0, linked && f.position >= g.offset, now_, true});
     Ms since = std::max(parentsSince_, zoneSince_[static_cast<std::size_t>(f.zone)]);
-    bool cold = board && now_ - since < terms_.parentLasts;  // the list tells starts
+    std::optional<bool> cold;  // the list tells starts
+    if (board) cold = now_ - since < terms_.parentLasts;
     give(f, Behind{crowdedNow_, cold});
     give(f, RulesNow{true, board && f.version == approved, f.version, approvedDigest});
   } else {
