--- a/src/recovery/recovery.cpp
+++ b/src/recovery/recovery.cpp
@@ -74,9 +74,12 @@
   bool haveRules = false;
   std::uint64_t firstSaid = 0;  // 0: nothing yet
   std::optional<bool> cold;
+  Ms majorityAt = -1;  // when so many disks had spoken first
   bool lossTold = false, wholeLoss = false;
   Loss last;
   LettingIn letting;
+  Ms lettingFrom = 0;              // its time counts from here: anew where the record is caught up late
+  std::vector<double> certainLet;  // by offering: what was let in of what is certain before that; it stays
   std::optional<Admit> admitted;
   std::size_t turn = 0;
   std::vector<Action> out;
@@ -108,7 +111,8 @@
     return heard == fronts.size() || sounds >= majority();
   }
   // Own disk weighed against the others' (or nothing on it to be wrong); after a while without so many, as good as can be had.
-  bool judged(Ms now) const { return !sound(seen.state) || firm() || now - started >= terms.neighboursAtMost + terms.groupAtMost; }
+  bool judged(Ms now) const { return !sound(seen.state) || firm() || waited(now); }
+  bool waited(Ms now) const { return majorityAt >= 0 && now - majorityAt >= terms.groupAtMost; }
   bool groupGood() const { return haveGroup && group.leaderKnown && group.token >= floors.token; }
   bool certainOnly() const { return phase < Phase::lettingIn || !caught; }
 
@@ -150,6 +154,7 @@
   void enter(Ms now, Phase p, std::string why, bool byTime = false) {
     phase = p, since = now;
     if (p == Phase::lettingIn) {
+      lettingFrom = now;
       if (!quick(now)) letting.again();  // one that kept running had let in all; what lies behind may be cold now
       letting.begin(now);
     }
@@ -183,6 +188,8 @@
     Floors f = together(others, own(), fronts.size(), terms);
     f.token = std::max(f.token, told.token), f.offset = std::max(f.offset, told.offset), f.incarnation = std::max(f.incarnation, told.incarnation);
     floors = f, dirty = false;
+    auto spoken = 1 + static_cast<std::size_t>(std::count_if(rows.begin(), rows.end(), [&](auto& r) { return spoke(r.second); }));
+    if (majorityAt < 0 && spoken >= majority()) majorityAt = now;
   }
 
   // Told once a majority is heard, and again only where it turns out to be more or less than that.
@@ -204,7 +211,7 @@
     out.push_back(l);
   }
 
-  bool over(Ms now) const { return now - since >= atMost(phase, terms); }
+  bool over(Ms now) const { return now - (phase == Phase::lettingIn ? lettingFrom : since) >= atMost(phase, terms); }
 
   bool advance(Ms now) {
     switch (phase) {
@@ -246,6 +253,7 @@
     Admit a;
     a.certainOnly = certainOnly(), a.comeBack = a.certainOnly || phase != Phase::whole ? terms.comeBack : 0;
     if (phase != Phase::whole) a.byOffering = letting.byOffering(a.certainOnly);
+    for (std::size_t i = 0; i < std::min(a.byOffering.size(), certainLet.size()); ++i) a.byOffering[i] = std::max(a.byOffering[i], certainLet[i]);
     if (admitted && admitted->byOffering == a.byOffering && admitted->certainOnly == a.certainOnly) return;
     admitted = a, out.push_back(a);
   }
@@ -294,6 +302,11 @@
     if (!later) {
       if (dirty) weigh(now);
       if (haveRecord && (!record.on || (record.caughtUp && groupGood() && judged(now) && record.committed >= floors.offset))) {
+        if (!caught && phase == Phase::lettingIn && !quick(now)) {
+          // What was let in so far asked nothing of parents and caches: how much they bear is not known by it.
+          certainLet = letting.byOffering(true);
+          letting.again(), letting.begin(now), lettingFrom = now;
+        }
         caught = true;
         if (record.on && record.committed > told.offset) told.offset = record.committed, floors.offset = std::max(floors.offset, told.offset);
       }
@@ -319,9 +332,7 @@
 
 bool Recovery::mayFound(Ms now) const {
   const Inner& i = *inner_;
-  std::size_t heard = 1;
-  for (auto& [id, r] : i.rows) heard += i.spoke(r);
-  return i.phase >= Phase::group && heard >= i.majority() && (i.firm() || now - i.since >= i.terms.groupAtMost / 2);
+  return i.phase >= Phase::group && i.majorityAt >= 0 && (i.firm() || i.waited(now));
 }
 
 bool Recovery::mayOwn(Ms now) const { return now >= inner_->ownAfter && inner_->phase > Phase::group && inner_->groupGood(); }
@@ -329,7 +340,7 @@
 Ms Recovery::wakeAt() const {
   const Inner& i = *inner_;
   Ms at = i.nextHello, end = i.since + recovery::atMost(i.phase, i.terms);
-  if (i.phase != Phase::whole && end > i.nextHello - i.terms.helloEvery) at = std::min(at, end);
+  if (i.phase < Phase::lettingIn && end > i.nextHello - i.terms.helloEvery) at = std::min(at, end);
   if (i.phase == Phase::lettingIn) at = std::min(at, i.letting.next());
   return at;
 }
--- a/src/recovery/recovery.hpp
+++ b/src/recovery/recovery.hpp
@@ -159,7 +159,8 @@
   bool certainOnly() const;
   bool mayOwn(Ms now) const;  // every lease from before has surely run out, and the phase is past `group`
   // Whether a group without its log may be founded anew, or its token and offset raised, from above floors(): the disks of a majority
-  // of the fleet were heard, sound enough to judge each other by, or all were, or half of the group's time is over.
+  // of the fleet were heard, sound enough to judge each other by, or all were, or as
+  // long as the group may take has passed since.
   bool mayFound(Ms now) const;
   double carries() const;
   Ms wakeAt() const;
