--- a/src/rig/recoverysim.cpp
+++ b/src/rig/recoverysim.cpp
@@ -151,6 +151,7 @@
       f.admit = *m, f.anyAdmit = true;
       run_.seen.push_back({.what = Seen::What::admit, .at = now_, .front = f.id, .certainOnly = m->certainOnly, .current = f.current});
       if (run_.firstSafe < 0 && powerBack_ >= 0) run_.firstSafe = now_ - powerBack_;
+      if (run_.firstKept < 0 && powerBack_ >= 0 && !m->certainOnly) run_.firstKept = now_ - powerBack_;
     } else if (auto* l = std::get_if<Loss>(&a)) {
       if (!terms_.breaks.untold)
         run_.seen.push_back({.what = Seen::What::loss, .at = now_, .front = f.id, .value = l->whole ? 1.0 : 0.0, .why = l->lost});
@@ -337,6 +338,7 @@
   parentsWarm_ += (1 - parentsWarm_) * std::min(1.0, fills * done / fronts * terms_.tick / (2 * terms_.cacheHolds));
   if (powerBack_ < 0) run_.usualOffice = office;
   else {
+    if (now_ >= powerBack_) run_.peakParents = std::max(run_.peakParents, level);
     run_.peakOffice = std::max(run_.peakOffice, office);
     if (run_.goodput95 < 0 && useful + straight >= 0.95 * fronts) run_.goodput95 = now_ - powerBack_;
   }
--- a/src/rig/recoverysim.hpp
+++ b/src/rig/recoverysim.hpp
@@ -58,7 +58,8 @@
   Ms faultsOver = 0, end = 0;
   bool allWhole = false, allStoresLost = false, wholeLoss = false;
   // For the bench: from the (last) return of power on.
-  Ms firstSafe = -1, goodput95 = -1;
+  Ms firstSafe = -1, firstKept = -1, goodput95 = -1;
+  double peakParents = 0;  // level: what is asked of them over what they bear
   double peakOffice = 0, usualOffice = 0;
 };
 
