Drift: forms, approvals, words, verdicts in common, repairs; what a front decides by in memory

Whether all fronts decide by what was approved could not be seen. The pure package by its header (refined: words numbered a round with since when they say the same, votes as a bitmap, wall clocks held within monotone terms, floors kept through a crash), and the form of a front's memory with a guard on each struct's size.

--- a/src/drift/drift.hpp
+++ b/src/drift/drift.hpp
@@ -7,8 +7,9 @@
 // Channel::rules); a difference is opened section by section down to the field.
 //
 // Verdicts: inStep; converging (within the approval's term); drifted (field, since when); unapproved (its version was never
-// approved); forked (the same version, other content); unknown (last seen so long ago). A verdict needs the same word in `steady` rounds
-// (hysteresis), and is in common: by what a quorum of fronts hold, or by the owner under its token where there is one.
+// approved); forked (the same version, other content); unknown (last seen so long ago). A verdict needs the same word of the front itself
+// in `steady` rounds (hysteresis: its words are numbered a round, and say since which number they are the same), and is in common: a
+// majority of the fronts whose word counts hold it (their votes ride along as a bitmap that is only ever added to), or the owner under its token.
 // Bound on how long a drift stays unseen: foundWithin(), as a function of the terms and the number of fronts.
 //
 // What follows: fields are classed by what they can break (a rule; capacity; nothing). Repair by the owner under its token: at most
@@ -49,6 +50,7 @@
 struct Difference { Field field; std::string active, approved; Breaks breaks = Breaks::nothing; };
 // Classes by "section.name" or "section.*"; what is not named breaks capacity.
 using Classes = std::map<std::string, Breaks>;
+// A section that `approved` does not name is not judged, nor in a front's digest (a newer program's); one that `active` lacks is.
 std::vector<Difference> differences(const Form& active, const Form& approved, const Classes& classes);
 
 // ---- the approval, as it stands in the record (key: "fleet", "zone/NAME" or "front/ID": the narrowest holds)
@@ -67,25 +69,46 @@
 struct Told {  // each round to `fanout` fronts, all of it; news of others rides along
   Version version = 0;         // that it believes approved
   std::uint64_t active = 0, approved = 0;             // digests of all
+  std::uint64_t seq = 0, changed = 0;                 // of its words, one a round; the first that said the same
   std::map<std::string, std::uint64_t> sections;      // of what is active; only where asked
-  bool ask = false;                                   // the receiver is to open its difference to the sender
+  bool ask = false;                                   // the receiver is to open its difference to the sender:
+  std::vector<std::string> wants;                     // these sections, at most 8; empty: the digests of all
   Form opened;                                        // of the sections that were asked for
   double abandoned = 0, declined = 0;                 // shares of its pulls, lately: for the alarm
-  std::uint64_t seq = 0;
-  struct Other { Id who = 0; std::uint64_t seq = 0; Version version = 0; std::uint64_t active = 0; };
+  Token token = 0;             // the highest heard
+  Version stoppedAt = 0;       // repairs are stopped until an approval above this
+  struct Other { Id who = 0; std::uint64_t seq = 0; Version version = 0; std::uint64_t active = 0, approved = 0, changed = 0; };
   std::vector<Other> others;                          // at most 32
+  // Votes against a front: of what it says since `changed`, against the approval `wanted`.
+  struct Case {
+    Id who = 0;
+    std::uint8_t standing = 0;
+    std::uint64_t changed = 0;
+    Version wanted = 0;
+    Token token = 0;                                  // of an owner that holds it so; 0: none
+    std::string voters;                               // a bit a front, in the order of ids
+    std::vector<Difference> fields;                   // at most 4, values cut at 64 bytes
+  };
+  std::vector<Case> cases;                            // at most 8
+  struct Aside { Id who = 0; Token token = 0; std::uint32_t count = 0; bool on = false; };
+  std::vector<Aside> asides;                          // at most 32; the highest token, then count, holds
 };
+constexpr std::size_t mostOthers = 32, mostCases = 8, mostFronts = 512;
 std::string encode(const Told& t);
 std::optional<Told> decodeTold(std::span<const char> bytes);
 
 enum class Standing : std::uint8_t { unknown, inStep, converging, drifted, unapproved, forked };
 const char* word(Standing standing);
+inline bool bad(Standing s) { return s >= Standing::drifted; }
 
 struct Terms {
   std::size_t fronts = 1;
   Ms round = 500;              // one word a round to `fanout` others
   int fanout = 2, steady = 2;
-  Ms silent = 5000;            // not heard, by anybody, for so long: unknown
+  std::size_t quorum = 0;      // 0: a majority of the fronts that are not set aside
+  Ms silent = 5000;            // not heard, by anybody, for so long (and what size adds, silentFor): unknown
+  Ms recordLag = 5000;         // how far the record may be behind at one front: a version above its own counts as news for so long
+  Ms termLeast = 3000, termMost = 10 * 60 * 1000;  // of converging, on the monotone clock: a wrong wall clock is held within
   int atOnce = 1;              // repairs a zone at once
   double leastServing = 0.5;   // of a zone's fronts that must be in step or serving meanwhile
   Ms repairWithin = 5000, watchFor = 3000;
@@ -93,13 +116,22 @@
   int often = 3;
   Ms within = 10 * 60 * 1000;
 };
-// From a change in a front's memory until every verdict in common names it, with no message lost; each lost round adds one round.
+// From a change in a front's memory (past the approval's term) until every verdict in common names it, with no message lost; each
+// lost round adds one round. A version that was never approved and is above the newest one: recordLag more.
 Ms foundWithin(const Terms& terms);
+Ms lossAdds(const Terms& terms, double loss);  // for a share of datagrams lost, to all of it
+Ms silentFor(const Terms& terms);
 
 // ---- events and actions
 struct Active { Form form; };                                        // this front's own, each time it may have changed
 struct Approved { Version version = 0; std::optional<Approval> approval; };  // from the record, narrowest for this front
-struct ApprovedFor { Id front = 0; Version version = 0; std::uint64_t digest = 0; Ms holdBy = 0; };  // for each front: what is wanted of it
+struct ApprovedFor {           // for each front, this one too: what is wanted of it, as the record here stands
+  Id front = 0;
+  Version version = 0;
+  std::uint64_t digest = 0;    // of the approval's form
+  Ms holdBy = 0, unixNow = 0;  // Unix time, and what this front's wall clock says, right or wrong
+  std::shared_ptr<const Form> form;  // null: differences of that front are not opened here
+};
 struct Hears { Id from = 0; Told told; };
 struct Owns { Token token = 0; };                                    // 0: not this front
 struct Pulls { double abandoned = 0, declined = 0; };
@@ -107,26 +139,40 @@
 using Event = std::variant<Active, Approved, ApprovedFor, Hears, Owns, Pulls, Tick>;
 
 struct Tell { Id to = 0; Told told; };
-struct Repair { Id front = 0; Token token = 0; Version version = 0; };   // the owner's word: take up the approved form now
-struct TakeUp { Version version = 0; Form form; };                       // at the front itself: what was approved, to be made active
-struct Found { Id front = 0; Standing standing = Standing::unknown; std::vector<Difference> fields; Ms since = 0; };  // log, view
+struct Repair { Id front = 0; Token token = 0; Version version = 0; };   // the owner's word: take up the approved form now (may be to itself)
+std::string encode(const Repair& r);
+std::optional<Repair> decodeRepair(std::span<const char> bytes);
+struct TakeUp { Version version = 0; Form form; Token token = 0; };      // at the front itself: what was approved, to be made active
+struct Found { Id front = 0; Standing standing = Standing::unknown; std::vector<Difference> fields; Ms since = 0; bool mayServe = true; };
+// At the front itself: it may not serve what these fields say (each breaks a rule); or, with `may`, it may again.
+struct MayServe { bool may = true; std::vector<Difference> fields; };
 struct SetAside { Id front = 0; bool on = false; std::string why; };
 struct Stopped { std::string why; };                                     // repairs are stopped until an operator approves again
-using Action = std::variant<Tell, Repair, TakeUp, Found, SetAside, Stopped>;
+using Action = std::variant<Tell, Repair, TakeUp, Found, MayServe, SetAside, Stopped>;
 
+// Taking up is by the owner's word only, an approval's rollout as well as a repair, so that a zone never goes at once. A zone
+// of one front is therefore left to staff wherever leastServing is above 0. A new owner waits out what one before it may have under way
+// (repairWithin + watchFor). A repair that fails is tried 3 times, further apart each time, then left until something changes.
+// Rule fields: a front whose memory differs in one of them from its approval, and is no form approved earlier, stops by its own
+// evidence (both forms are at hand); where it is merely late, only once that is in common and its zone keeps leastServing.
 class Drift {
  public:
-  Drift(Id self, std::map<Id, int> zoneOf, Classes classes, Terms terms, std::uint64_t seed, Ms now);
+  struct Floors { std::uint32_t incarnation = 1; Token token = 0; };  // kept through a crash by the caller
+  Drift(Id self, std::map<Id, int> zoneOf, Classes classes, Terms terms, std::uint64_t seed, Ms now, Floors floors);
   ~Drift();
   std::vector<Action> handle(Ms now, const Event& event);
   std::vector<Action> repairAsked(Ms now, Id from, const Repair& r);  // fenced by the highest token heard
   struct Row { Standing standing = Standing::unknown; Ms since = 0, seenAt = -1; Version version = 0; std::vector<Difference> fields; bool aside = false; };
   const std::map<Id, Row>& rows() const;
   bool aside(Id front) const;
+  bool mayServe() const;
+  bool stopped() const;
+  Token token() const;  // the highest heard: to be kept before what was returned with it is carried out
   Ms wakeAt() const;
 
+  struct Inner;  // this package's own (inner.hpp)
+
  private:
-  struct Inner;
   std::shared_ptr<Inner> inner_;
 };
 
--- /dev/null
+++ b/src/drift/inner.hpp
@@ -0,0 +1,121 @@
+// The state behind Drift; for this package's own files. Every table is by front (one row) or bounded as said at it.
+#pragma once
+#include <deque>
+#include <random>
+#include <utility>
+
+#include "drift/drift.hpp"
+
+namespace dunlinwick::drift {
+
+constexpr Ms never = -1e18;
+
+struct Drift::Inner {
+  Inner(Id s, std::map<Id, int> z, Classes c, Terms t, std::uint64_t seed, Ms now, Floors floors);
+
+  struct Past { Version version = 0; std::uint64_t digest = 0; };
+  struct Wanted {
+    Version version = 0;
+    std::uint64_t digest = 0;
+    Ms until = 0;                      // on the monotone clock
+    std::shared_ptr<const Form> form;
+    std::deque<Past> past;             // oldest first, the last 16
+  };
+  struct Seen {  // what a front said of itself, the newest heard of anybody
+    std::uint64_t seq = 0, active = 0, approved = 0, changed = 0;
+    Version version = 0;
+    Ms at = never, changedAt = 0;      // heard; since when it says the same
+    Ms aboveSince = never;             // says a version that is news here, or none, since
+    Ms direct = never;                 // heard of itself
+    double abandoned = 0, declined = 0;
+    int sends = 0;                     // of this news, so far
+    bool settled() const { return seq != 0; }
+  };
+  struct Case {
+    Standing standing = Standing::drifted;
+    std::uint64_t changed = 0;
+    Version wanted = 0;
+    Token token = 0;
+    std::vector<bool> voters;
+    std::vector<Difference> fields;
+  };
+  struct Asked { std::uint64_t changed = 0; int tries = 0; Ms at = never; };
+  struct Underway {
+    Version version = 0;
+    Ms sentAt = 0, lastSent = 0, watchUntil = never;
+    bool based = false;
+    double abandoned = 0, declined = 0;
+  };
+  struct Tries { Version version = 0; std::uint64_t changed = 0; int count = 0; Ms notBefore = never; };
+  struct AsideState { Token token = 0; std::uint32_t count = 0; bool on = false; Ms since = 0; };
+
+  // evidence.cpp
+  void merge(Id who, std::uint64_t seq, Version version, std::uint64_t active, std::uint64_t approved, std::uint64_t changed, Ms now);
+  void mergeCase(const Told::Case& c, Ms now);
+  Standing evaluate(Id who, Ms now) const;
+  void judge(Ms now);                  // one round: opinions, votes, rows
+  void show(Ms now);                   // rows by opinions and votes
+  Standing common(Id who, Case** of);
+  std::size_t quorum() const;
+  void prune(Id who);
+  void ownWord(Ms now, bool round);
+  void serves(Ms now);
+  std::size_t index(Id who) const;
+  std::vector<Difference> ownFields() const;
+  // told.cpp's counterpart: what goes out
+  Told word(bool full);
+  void tell(Ms now);
+  void ask(Ms now);
+  void answer(Id to, const Told& asked);
+  void opened(Id from, const Told& t);
+  // repair.cpp
+  bool owning() const;
+  void repairs(Ms now);
+  void asides(Ms now);
+  bool zoneBears(int zone, Id who) const;
+  void heardShares(Id from, Ms now);
+  std::vector<Action> asked(Ms now, const Repair& r);
+  void takeUp(Ms now);
+  Form governed() const;               // of what is active, the sections that the approval names
+
+  const Id self;
+  const std::map<Id, int> zoneOf;      // at most mostFronts
+  std::vector<Id> ids;                 // in order; a voter's bit is its place here
+  const Classes classes;
+  const Terms terms;
+  std::knuth_b random;
+  Ms nextRound = 0;
+  std::uint64_t seq = 0, changed = 0;
+
+  Form active;
+  bool haveActive = false;
+  Version version = 0;
+  std::optional<Approval> approval;
+  std::deque<std::uint64_t> earlier;   // digests of forms approved for this front before, the last 16
+  std::map<Id, Wanted> wanted;
+  std::map<Id, Seen> seen;
+  std::map<Id, Standing> held;
+  std::map<Id, std::vector<Case>> cases;  // at most 4 a front
+  std::map<Id, Asked> asking;
+  std::map<Id, Row> rows;
+  std::vector<Id> turn;                // whom to tell next, shuffled; each once before any twice
+  std::size_t othersFrom = 0, casesFrom = 0;
+  double abandoned = 0, declined = 0;
+  bool may = true;
+
+  Token mine = 0, highest = 0;
+  Ms ownsSince = never;
+  Version stoppedAt = 0;
+  std::map<Id, Underway> underway;
+  std::map<Id, Tries> tries;
+  std::map<Id, std::deque<Ms>> episodes;  // at most `often` a front
+  std::map<Id, AsideState> asideOf;
+  std::optional<Repair> pending;       // asked for before the approval was heard, for repairWithin / 2
+  Ms pendingUntil = never;
+  Id answerTo = 0;                     // an owner that repairs this front is told each round
+  Ms answerUntil = never;
+
+  std::vector<Action> out;
+};
+
+}  // namespace dunlinwick::drift
--- /dev/null
+++ b/src/drift/repair.cpp
@@ -0,0 +1,152 @@
+// What follows: the owner's repairs and rollouts within a zone's limits, the alarm, fronts set aside; and, at a front, being repaired.
+#include <algorithm>
+
+#include "drift/inner.hpp"
+
+namespace dunlinwick::drift {
+
+using Inner = Drift::Inner;
+
+bool Inner::owning() const {
+  if (mine == 0 || mine < highest) return false;
+  auto a = asideOf.find(self);
+  return a == asideOf.end() || !a->second.on;
+}
+
+// Whether `zone` may do without `who` meanwhile. What serves: heard lately, not under way, not stopped by a rule.
+bool Inner::zoneBears(int zone, Id who) const {
+  std::size_t size = 0, left = 0;
+  bool served = false;
+  for (const auto& [id, z] : zoneOf) {
+    if (z != zone) continue;
+    ++size;
+    auto r = rows.find(id);
+    auto u = underway.find(id);
+    bool serves = r != rows.end() && r->second.standing != Standing::unknown && (u == underway.end() || u->second.watchUntil != never);
+    if (serves && bad(r->second.standing))
+      serves = std::none_of(r->second.fields.begin(), r->second.fields.end(), [](const Difference& d) { return d.breaks == Breaks::rule; });
+    if (id == who) served = serves;
+    else left += serves;
+  }
+  return !served || static_cast<double>(left) >= terms.leastServing * static_cast<double>(size);
+}
+
+void Inner::heardShares(Id from, Ms now) {
+  auto u = underway.find(from);
+  if (u == underway.end()) return;
+  const Seen& s = seen[from];
+  if (!u->second.based) {  // its first word since it was asked comes from before it took up
+    u->second.based = true, u->second.abandoned = s.abandoned, u->second.declined = s.declined;
+    return;
+  }
+  double rise = std::max(s.abandoned - u->second.abandoned, s.declined - u->second.declined);
+  if (rise <= terms.alarm || stoppedAt >= u->second.version) return;
+  Version taken = u->second.version;
+  stoppedAt = taken;
+  for (const auto& [who, w] : wanted) stoppedAt = std::max(stoppedAt, w.version);
+  out.push_back(Stopped{"abandoned or declined pulls rose by " + number(rise) + " at front " + std::to_string(from) +
+                        " after it was to take up version " + std::to_string(taken)});
+  (void)now;
+}
+
+void Inner::repairs(Ms now) {
+  if (!owning()) {
+    underway.clear();
+    return;
+  }
+  // What goes on and what is over.
+  for (auto it = underway.begin(); it != underway.end();) {
+    Underway& u = it->second;
+    const Row& r = rows[it->first];
+    const Seen& s = seen[it->first];
+    bool taken = s.at > u.sentAt && s.version >= u.version && held[it->first] == Standing::inStep;
+    if (u.watchUntil == never && taken) u.watchUntil = now + terms.watchFor;
+    bool watched = u.watchUntil != never && now >= u.watchUntil;
+    bool late = u.watchUntil == never && now >= u.sentAt + terms.repairWithin;
+    // Its place is kept until it is heard again, or taken for gone: it may be out of service yet.
+    bool heard = s.at > u.sentAt + terms.repairWithin || r.standing == Standing::unknown;
+    if (late && heard) {
+      Tries& t = tries[it->first];
+      ++t.count, t.notBefore = now + terms.repairWithin * t.count;
+    }
+    if (watched || (late && heard)) {
+      it = underway.erase(it);
+      continue;
+    }
+    if (u.watchUntil == never && now - u.lastSent >= 2 * terms.round && now - u.sentAt < terms.repairWithin / 2)
+      u.lastSent = now, out.push_back(Repair{it->first, mine, u.version});
+    ++it;
+  }
+  Version newest = 0;
+  for (const auto& [who, w] : wanted) newest = std::max(newest, w.version);
+  if (stoppedAt != 0 && newest <= stoppedAt) return;
+  if (now - ownsSince < terms.repairWithin + terms.watchFor) return;  // what an owner before may have under way
+  std::map<int, int> busy;
+  for (const auto& [who, u] : underway) ++busy[zoneOf.at(who)];
+  for (bool drifts : {true, false})  // drifts first, then the rollout
+    for (Id who : ids) {
+      const Row& r = rows[who];
+      if (bad(r.standing) != drifts || (!drifts && r.standing != Standing::converging)) continue;
+      if (underway.count(who) != 0) continue;
+      auto w = wanted.find(who);
+      if (w == wanted.end() || w->second.version == 0) continue;
+      const Seen& s = seen[who];
+      if (s.active == w->second.digest) continue;  // forked with the right form: staff's
+      // A version that is news here: our record is behind, and is not to undo what is newer.
+      if (!drifts && s.version > w->second.version) continue;
+      Tries& t = tries[who];
+      if (t.version != w->second.version || t.changed != s.changed) t = {w->second.version, s.changed, 0, never};
+      if (t.count >= 3 || now < t.notBefore) continue;
+      int zone = zoneOf.at(who);
+      if (busy[zone] >= terms.atOnce || !zoneBears(zone, who)) continue;
+      ++busy[zone];
+      underway[who] = {w->second.version, now, now, never, false, 0, 0};
+      out.push_back(Repair{who, mine, w->second.version});
+    }
+}
+
+void Inner::asides(Ms now) {
+  if (!owning()) return;
+  std::size_t off = 0;
+  for (const auto& [who, a] : asideOf) off += a.on;
+  for (Id who : ids) {
+    AsideState& a = asideOf[who];
+    auto e = episodes.find(who);
+    if (!a.on) {
+      bool often = e != episodes.end() && e->second.size() >= static_cast<std::size_t>(terms.often) && now - e->second.front() <= terms.within;
+      // At most a quarter of the fronts: more at once is no front's fault.
+      if (!often || off >= std::max<std::size_t>(1, ids.size() / 4)) continue;
+      a = {mine, a.count + 1, true, now}, ++off;
+      out.push_back(SetAside{who, true, "drifted " + std::to_string(terms.often) + " times"});
+    } else if (rows[who].standing == Standing::inStep && now - std::max(a.since, rows[who].since) >= terms.within) {
+      a = {mine, a.count + 1, false, now}, --off;
+      if (e != episodes.end()) e->second.clear();
+      out.push_back(SetAside{who, false, "in step for " + number(terms.within / 1000) + " s"});
+    }
+  }
+}
+
+std::vector<Action> Inner::asked(Ms now, const Repair& r) {
+  out.clear();
+  if (r.front != self || r.token == 0 || r.token < highest) return {};  // an owner that was
+  highest = r.token;
+  if (r.version < version) return {};  // what it would have taken up is approved no more
+  pending = r, pendingUntil = now + terms.repairWithin / 2;
+  takeUp(now);
+  return std::exchange(out, {});
+}
+
+void Inner::takeUp(Ms now) {
+  if (!pending) return;
+  if (now > pendingUntil || pending->version < version || pending->token < highest) {
+    pending.reset();
+    return;
+  }
+  if (pending->version != version || !approval) return;  // not heard of yet
+  Token token = pending->token;
+  pending.reset();
+  if (haveActive && digest(governed()) == digest(approval->form)) return;
+  out.push_back(TakeUp{version, approval->form, token});
+}
+
+}  // namespace dunlinwick::drift
