--- a/src/drift/drift.hpp
+++ b/src/drift/drift.hpp
@@ -139,7 +139,9 @@
 using Event = std::variant<Active, Approved, ApprovedFor, Hears, Owns, Pulls, Tick>;
 
 struct Tell { Id to = 0; Told told; };
-struct Repair { Id front = 0; Token token = 0; Version version = 0; };   // the owner's word: take up the approved form now (may be to itself)
+// The owner's word (may be to itself): take up the approved form now, in place of what the front says since `changed`: a
+// late one, about what the front no longer says, is refused by it.
+struct Repair { Id front = 0; Token token = 0; Version version = 0; std::uint64_t changed = 0; };
 std::string encode(const Repair& r);
 std::optional<Repair> decodeRepair(std::span<const char> bytes);
 struct TakeUp { Version version = 0; Form form; Token token = 0; };      // at the front itself: what was approved, to be made active
--- a/src/drift/inner.hpp
+++ b/src/drift/inner.hpp
@@ -42,6 +42,7 @@
   struct Asked { std::uint64_t changed = 0; int tries = 0; Ms at = never; };
   struct Underway {
     Version version = 0;
+    std::uint64_t changed = 0;
     Ms sentAt = 0, lastSent = 0, watchUntil = never;
     bool based = false;
     double abandoned = 0, declined = 0;
--- a/src/drift/repair.cpp
+++ b/src/drift/repair.cpp
@@ -64,7 +64,8 @@
     bool watched = u.watchUntil != never && now >= u.watchUntil;
     bool late = u.watchUntil == never && now >= u.sentAt + terms.repairWithin;
     // Its place is kept until it is heard again, or taken for gone: it may be out of service yet.
-    bool heard = s.at > u.sentAt + terms.repairWithin || r.standing == Standing::unknown;
+    // And no shorter than a late word of it may yet come (twice repairWithin).
+    bool heard = (s.at > u.sentAt + terms.repairWithin || r.standing == Standing::unknown) && now >= u.sentAt + 2 * terms.repairWithin;
     if (late && heard) {
       Tries& t = tries[it->first];
       ++t.count, t.notBefore = now + terms.repairWithin * t.count;
@@ -74,7 +75,7 @@
       continue;
     }
     if (u.watchUntil == never && now - u.lastSent >= 2 * terms.round && now - u.sentAt < terms.repairWithin / 2)
-      u.lastSent = now, out.push_back(Repair{it->first, mine, u.version});
+      u.lastSent = now, out.push_back(Repair{it->first, mine, u.version, u.changed});
     ++it;
   }
   Version newest = 0;
@@ -86,12 +87,13 @@
   for (bool drifts : {true, false})  // drifts first, then the rollout
     for (Id who : ids) {
       const Row& r = rows[who];
-      if (bad(r.standing) != drifts || (!drifts && r.standing != Standing::converging)) continue;
+      // Unapproved and forked: its record is wrong, not its memory. Staff have it learn the record anew.
+      if (r.standing != (drifts ? Standing::drifted : Standing::converging)) continue;
       if (underway.count(who) != 0) continue;
       auto w = wanted.find(who);
       if (w == wanted.end() || w->second.version == 0) continue;
       const Seen& s = seen[who];
-      if (s.active == w->second.digest) continue;  // forked with the right form: staff's
+      if (s.active == w->second.digest) continue;
       // A version that is news here: our record is behind, and is not to undo what is newer.
       if (!drifts && s.version > w->second.version) continue;
       Tries& t = tries[who];
@@ -100,8 +102,8 @@
       int zone = zoneOf.at(who);
       if (busy[zone] >= terms.atOnce || !zoneBears(zone, who)) continue;
       ++busy[zone];
-      underway[who] = {w->second.version, now, now, never, false, 0, 0};
-      out.push_back(Repair{who, mine, w->second.version});
+      underway[who] = {w->second.version, s.changed, now, now, never, false, 0, 0};
+      out.push_back(Repair{who, mine, w->second.version, s.changed});
     }
 }
 
@@ -131,6 +133,7 @@
   if (r.front != self || r.token == 0 || r.token < highest) return {};  // an owner that was
   highest = r.token;
   if (r.version < version) return {};  // what it would have taken up is approved no more
+  if (r.changed != changed) return {};   // late, or of what was changed since: the owner hears of it, and asks anew
   pending = r, pendingUntil = now + terms.repairWithin / 2;
   takeUp(now);
   return std::exchange(out, {});
--- a/src/drift/told.cpp
+++ b/src/drift/told.cpp
@@ -92,14 +92,14 @@
 std::string encode(const Repair& r) {
   proto::drift::Message whole;
   auto& m = *whole.mutable_repair();
-  m.set_front(r.front), m.set_token(r.token), m.set_version(r.version);
+  m.set_front(r.front), m.set_token(r.token), m.set_version(r.version), m.set_changed(r.changed);
   return whole.SerializeAsString();
 }
 
 std::optional<Repair> decodeRepair(std::span<const char> bytes) {
   proto::drift::Message whole;
   if (!whole.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())) || !whole.has_repair()) return {};
-  return Repair{whole.repair().front(), whole.repair().token(), whole.repair().version()};
+  return Repair{whole.repair().front(), whole.repair().token(), whole.repair().version(), whole.repair().changed()};
 }
 
 }  // namespace dunlinwick::drift
--- /dev/null
+++ b/src/rig/drift_script.hpp
@@ -0,0 +1,18 @@
+// One seeded run of faults for the drift rig: what tests, searches by hand and broken variants all play.
+#pragma once
+#include "rig/drift_judge.hpp"
+#include "rig/driftsim.hpp"
+
+namespace dunlinwick::rig {
+
+struct DriftRun {
+  std::vector<std::string> faults;
+  std::vector<Ms> foundAfter;
+  std::uint64_t owed = 0, met = 0, ended = 0, repairs = 0;
+  double loss = 0;
+  std::size_t fronts = 0;
+};
+Form driftForm(int limit, int memory = 60000);
+DriftRun driftRun(std::uint64_t seed, DriftFlaw flaw = DriftFlaw::none);
+
+}  // namespace dunlinwick::rig
