--- a/src/drift/active.cpp
+++ b/src/front/active.cpp
@@ -1,4 +1,4 @@
-#include "drift/active.hpp"
+#include "front/active.hpp"
 
 namespace dunlinwick::drift {
 
--- a/tests/drift_test.cpp
+++ b/tests/drift_test.cpp
@@ -9,7 +9,7 @@
 #include <cstring>
 #include <functional>
 
-#include "drift/active.hpp"
+#include "front/active.hpp"
 #include "rig/drift_script.hpp"
 
 using dunlinwick::Effect;
