--- a/src/drift/drift.hpp
+++ b/src/drift/drift.hpp
@@ -154,7 +154,7 @@
 
 // Taking up is by the owner's word only, an approval's rollout as well as a repair, so that a zone never goes at once. A zone
 // of one front is therefore left to staff wherever leastServing is above 0. A new owner waits out what one before it may have under way
-// (repairWithin + watchFor). A repair that fails is tried 3 times, further apart each time, then left until something changes.
+// (2.5 times repairWithin: a word late by twice that, and its wait). A repair that fails is tried 3 times, further apart each time, then left until something changes.
 // Rule fields: a front whose memory differs in one of them from its approval, and is no form approved earlier, stops by its own
 // evidence (both forms are at hand); where it is merely late, only once that is in common and its zone keeps leastServing.
 class Drift {
--- a/src/drift/repair.cpp
+++ b/src/drift/repair.cpp
@@ -64,8 +64,8 @@
     bool watched = u.watchUntil != never && now >= u.watchUntil;
     bool late = u.watchUntil == never && now >= u.sentAt + terms.repairWithin;
     // Its place is kept until it is heard again, or taken for gone: it may be out of service yet.
-    // And no shorter than a late word of it may yet come (twice repairWithin).
-    bool heard = (s.at > u.sentAt + terms.repairWithin || r.standing == Standing::unknown) && now >= u.sentAt + 2 * terms.repairWithin;
+    // And no shorter than a late word of it may yet come (twice repairWithin) and wait there for the approval.
+    bool heard = (s.at > u.sentAt + terms.repairWithin || r.standing == Standing::unknown) && now >= u.lastSent + 2.5 * terms.repairWithin;
     if (late && heard) {
       Tries& t = tries[it->first];
       ++t.count, t.notBefore = now + terms.repairWithin * t.count;
@@ -81,7 +81,7 @@
   Version newest = 0;
   for (const auto& [who, w] : wanted) newest = std::max(newest, w.version);
   if (stoppedAt != 0 && newest <= stoppedAt) return;
-  if (now - ownsSince < terms.repairWithin + terms.watchFor) return;  // what an owner before may have under way
+  if (now - ownsSince < 2.5 * terms.repairWithin) return;  // what an owner before may have under way
   std::map<int, int> busy;
   for (const auto& [who, u] : underway) ++busy[zoneOf.at(who)];
   for (bool drifts : {true, false})  // drifts first, then the rollout
