--- a/bench/recovery.cpp
+++ b/bench/recovery.cpp
@@ -1,6 +1,6 @@
-// Back from a loss of all power, emulated (src/rig/recoverysim), no sockets: from power back to the first front's first safe answer (and to the first of what is kept), to
-// 95% of goodput, and the peak of fills at head office against a usual day's; ordered against all at once. 5, 50 and 300 fronts.
-// dunlinwick_recovery_bench [seeds] [most fronts] [least fronts]
+// Back from a loss of all power, emulated (src/rig/recoverysim), no sockets: from power back to the first front's first safe
+// answer (and to the first of what is kept), to 95% of goodput, and the peak of fills at head office against a usual day's;
+// ordered against all at once. 5, 50 and 300 fronts. dunlinwick_recovery_bench [seeds] [most fronts] [least fronts]
 #include <algorithm>
 #include <cstdio>
 #include <cstdlib>
@@ -29,8 +29,11 @@
         else good.push_back(run.goodput95);
       }
       auto middle = [](std::vector<double>& v) { return v.empty() ? -1.0 : (std::sort(v.begin(), v.end()), v[v.size() / 2]); };
-      std::printf("%3d fronts, %s: first safe answer %.2f s (of what is kept, %.2f s), 95%% of goodput %.1f s (not within the run: %llu of %llu), peak asked of parents %.2f of what they bear, peak at head office %.1f of usual\n",
-                  fronts, atOnce ? "all at once" : "ordered", middle(safe) / 1000, middle(kept) / 1000, middle(good) / 1000, static_cast<unsigned long long>(never),
+      std::printf("%3d fronts, %s: first safe answer %.2f s (of what is kept, %.2f s), "
+                  "95%% of goodput %.1f s (not within the run: %llu of %llu), "
+                  "peak asked of parents %.2f of what they bear, peak at head office %.1f of usual\n",
+                  fronts, atOnce ? "all at once" : "ordered", middle(safe) / 1000, middle(kept) / 1000, middle(good) / 1000,
+                      static_cast<unsigned long long>(never),
                   static_cast<unsigned long long>(seeds), middle(parents), middle(peak));
       std::fflush(stdout);
     }
--- a/src/recovery/floors.cpp
+++ b/src/recovery/floors.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-// What a majority of the fleet knows at least: of the sound claims in falling order the one that makes up the majority. Nothing where too
-// few disks are sound: then no disk can be judged by the others.
+// What a majority of the fleet knows at least: of the sound claims in falling order the one that makes up the majority. Nothing
+// where too few disks are sound: then no disk can be judged by the others.
 std::optional<std::uint64_t> majorityKnows(const std::vector<Claim>& all, std::size_t fronts, std::uint64_t Floors::*field) {
   std::vector<std::uint64_t> said;
   for (const Claim& c : all)
@@ -35,7 +35,8 @@
 
 }  // namespace
 
-// Of those who have seen this front, the higher half's lowest word: one bad disk alone can't raise it, nor can one old disk lower it.
+// Of those who have seen this front, the higher half's lowest word: one bad disk alone can't raise it, nor can one old disk
+// lower it.
 std::uint64_t byWitnesses(const std::vector<Claim>& others) {
   std::vector<std::uint64_t> said;
   for (const Claim& c : others)
@@ -66,7 +67,8 @@
   if (!sound(own.store)) return {};
   std::uint64_t seen = byWitnesses(others);
   if (own.floors.incarnation < seen)
-    return "behind what others witness of it: incarnation " + std::to_string(own.floors.incarnation) + ", seen " + std::to_string(seen);
+    return "behind what others witness of it: incarnation " +
+           std::to_string(own.floors.incarnation) + ", seen " + std::to_string(seen);
   std::vector<Claim> all = with(others, own);
   auto above = [&](std::uint64_t Floors::*field, std::uint64_t ahead) {
     auto known = majorityKnows(all, fronts, field);
@@ -79,7 +81,8 @@
   for (const Claim& c : all)
     if (sound(c.store) && c.floors.rulesVersion == own.floors.rulesVersion) ++said[c.floors.rulesDigest];
   for (auto& [digest, times] : said)
-    if (times >= fronts / 2 + 1 && digest != own.floors.rulesDigest) return "rules' digest is not a majority's at the same version";
+    if (times >= fronts / 2 + 1 && digest != own.floors.rulesDigest)
+      return "rules' digest is not a majority's at the same version";
   return {};
 }
 
--- a/src/recovery/floors.hpp
+++ b/src/recovery/floors.hpp
@@ -14,8 +14,9 @@
 };
 inline bool sound(StoreSeen::State s) { return s == StoreSeen::State::good || s == StoreSeen::State::holed; }
 
-// The highest of all sound claims (this front's own among them). Where so many disks are sound that they are a majority of the fleet,
-// nothing counts that is further above what a majority knows than `ahead`. `incarnation`: this front's own, by its disk or most witnesses.
+// The highest of all sound claims (this front's own among them). Where so many disks are sound that they are a majority of the
+// fleet, nothing counts that is further above what a majority knows than `ahead`. `incarnation`: this front's own, by its disk
+// or most witnesses.
 Floors together(const std::vector<Claim>& others, const Claim& own, std::size_t fronts, const Terms& terms);
 // Why this front's own disk is not to be trusted; empty: nothing against it is known.
 std::string foundOut(const std::vector<Claim>& others, const Claim& own, std::size_t fronts, const Terms& terms);
--- a/src/recovery/letting_in.cpp
+++ b/src/recovery/letting_in.cpp
@@ -21,7 +21,9 @@
 
 LettingIn::LettingIn(const Terms& terms) : terms_(terms), share_(terms.first), halvedAt_(-1e18) {}
 
-void LettingIn::begin(Ms now) { next_ = now + terms_.stepEvery * (1 + static_cast<double>(terms_.zone) / std::max(1, terms_.zones)); }
+void LettingIn::begin(Ms now) {
+  next_ = now + terms_.stepEvery * (1 + static_cast<double>(terms_.zone) / std::max(1, terms_.zones));
+}
 
 void LettingIn::crowded(Ms now, bool halve) {
   held_ = true;
--- a/src/recovery/letting_in.hpp
+++ b/src/recovery/letting_in.hpp
@@ -1,5 +1,5 @@
-// How much of its usual work a front lets in, and which classes first. Pure; a step for each front alone, bounded over all of them since
-// each starts at a part of what cold parents bear from everybody, and all hear of crowding.
+// How much of its usual work a front lets in, and which classes first. Pure; a step for each front alone, bounded over all of
+// them since each starts at a part of what cold parents bear from everybody, and all hear of crowding.
 #pragma once
 #include <vector>
 
--- a/src/recovery/recovery.cpp
+++ b/src/recovery/recovery.cpp
@@ -14,9 +14,12 @@
 constexpr PhaseLine table[] = {
     {Phase::store, "own store checked", "what is certain, a first small part of it", "goes on as without a store"},
     {Phase::neighbours, "a majority heard", "what is certain, a first small part of it", "goes on without their word"},
-    {Phase::group, "a leader known, its token no lower than any floor", "what is certain, a first small part of it", "goes on without a group; owns nothing"},
-    {Phase::record, "caught up, no lower than any floor", "what is certain, a first small part of it", "goes on; only what is certain stays let in"},
-    {Phase::rules, "active rules are the approved ones", "what is certain, a first small part of it", "goes on by the last kept rules"},
+    {Phase::group, "a leader known, its token no lower than any floor", "what is certain, a first small part of it",
+        "goes on without a group; owns nothing"},
+    {Phase::record, "caught up, no lower than any floor", "what is certain, a first small part of it",
+        "goes on; only what is certain stays let in"},
+    {Phase::rules, "active rules are the approved ones", "what is certain, a first small part of it",
+        "goes on by the last kept rules"},
     {Phase::lettingIn, "all let in and the record caught up", "by class and step", "crowding no longer halves the steps"},
     {Phase::whole, "", "all", ""},
 };
@@ -121,7 +124,8 @@
     std::size_t kept = 0;
     bool zone = cold ? !*cold : terms.crew <= 1;
     for (auto& [id, r] : rows)
-      if (fresh(r, now) && r.hello.phase == Phase::whole && !young(r, now)) ++kept, zone = zone || (!cold && r.hello.zone == terms.zone);
+      if (fresh(r, now) && r.hello.phase == Phase::whole && !young(r, now))
+        ++kept, zone = zone || (!cold && r.hello.zone == terms.zone);
     return zone && !wholeLoss && kept >= std::min(majority(), std::max<std::size_t>(1, rows.size()));
   }
 
@@ -186,7 +190,8 @@
     if (!spoilt)
       if (std::string why = foundOut(before, own(), fronts.size(), terms); !why.empty()) distrust(now, State::spoilt, self, why);
     Floors f = together(others, own(), fronts.size(), terms);
-    f.token = std::max(f.token, told.token), f.offset = std::max(f.offset, told.offset), f.incarnation = std::max(f.incarnation, told.incarnation);
+    f.token = std::max(f.token, told.token), f.offset = std::max(f.offset, told.offset);
+    f.incarnation = std::max(f.incarnation, told.incarnation);
     floors = f, dirty = false;
     auto spoken = 1 + static_cast<std::size_t>(std::count_if(rows.begin(), rows.end(), [&](auto& r) { return spoke(r.second); }));
     if (majorityAt < 0 && spoken >= majority()) majorityAt = now;
@@ -205,7 +210,8 @@
     wholeLoss = wholeLoss || static_cast<std::size_t>(l.back) >= majority();
     l.whole = wholeLoss;
     if (l.whole && !anySound) l.lost = "no front heard has a sound store: rules, record and tokens from before are gone";
-    else if (l.whole && haveGroup && group.founded) l.lost = "the group's log is gone: founded anew above the floors of the stores that are left";
+    else if (l.whole && haveGroup && group.founded)
+      l.lost = "the group's log is gone: founded anew above the floors of the stores that are left";
     if (lossTold && l.whole == last.whole && l.lost == last.lost) return;
     lossTold = true, last = l;
     out.push_back(l);
@@ -237,7 +243,8 @@
         if (over(now)) return enter(now, Phase::rules, "record not caught up", true), true;
         return false;
       case Phase::rules:
-        if (haveRules && (!rules.on || rules.inStep)) return enter(now, Phase::lettingIn, rules.on ? "rules approved" : "no approval"), true;
+        if (haveRules && (!rules.on || rules.inStep))
+          return enter(now, Phase::lettingIn, rules.on ? "rules approved" : "no approval"), true;
         if (over(now)) return enter(now, Phase::lettingIn, "rules not known to be approved", true), true;
         return false;
       case Phase::lettingIn:
@@ -253,7 +260,8 @@
     Admit a;
     a.certainOnly = certainOnly(), a.comeBack = a.certainOnly || phase != Phase::whole ? terms.comeBack : 0;
     if (phase != Phase::whole) a.byOffering = letting.byOffering(a.certainOnly);
-    for (std::size_t i = 0; i < std::min(a.byOffering.size(), certainLet.size()); ++i) a.byOffering[i] = std::max(a.byOffering[i], certainLet[i]);
+    for (std::size_t i = 0; i < std::min(a.byOffering.size(), certainLet.size()); ++i)
+      a.byOffering[i] = std::max(a.byOffering[i], certainLet[i]);
     if (admitted && admitted->byOffering == a.byOffering && admitted->certainOnly == a.certainOnly) return;
     admitted = a, out.push_back(a);
   }
@@ -281,7 +289,8 @@
     if (e.founded && !(haveGroup && group.founded)) ownAfter = std::max(ownAfter, now + leaseOver());
     group = e, haveGroup = true;
     if (e.leaderKnown && e.token >= floors.token) told.token = std::max(told.token, e.token), groupWas = true, dirty = true;
-    if (e.lost && std::exchange(groupWas, false)) lossTold = wholeLoss = false, last = {}, back(now, "the group's majority is gone");
+    if (e.lost && std::exchange(groupWas, false))
+        lossTold = wholeLoss = false, last = {}, back(now, "the group's majority is gone");
   }
 
   void on(Ms, const RecordNow& e) { record = e, haveRecord = true; }
@@ -308,7 +317,8 @@
           letting.again(), letting.begin(now), lettingFrom = now;
         }
         caught = true;
-        if (record.on && record.committed > told.offset) told.offset = record.committed, floors.offset = std::max(floors.offset, told.offset);
+        if (record.on && record.committed > told.offset) told.offset = record.committed,
+            floors.offset = std::max(floors.offset, told.offset);
       }
       loss(now);
       while (advance(now)) loss(now);
--- a/src/recovery/recovery.hpp
+++ b/src/recovery/recovery.hpp
@@ -9,21 +9,23 @@
 //   group     elected, or founded anew where all stores are gone          -> record
 //   record    caught up to what a majority tells as committed, and no lower than the offset a majority witnessed -> rules
 //   rules     active rules are the approved ones                          -> letting in
-//   lettingIn pulls let in by zone and class, by steps that cold parents and caches bear over all fronts; record caught up -> whole
+//   lettingIn pulls let in by zone and class, by steps that cold parents and caches bear over all fronts;
+//             record caught up                                                  -> whole
 //   whole     all is let in
-// A front that starts into a fleet that kept running passes through quickly; a fleet that lost all power starts slowly, since caches
-// are cold and nobody knows the rest. A front never goes back but by a loss of its own or of the majority: then from `neighbours`,
-// while what is certain is served on.
+// A front that starts into a fleet that kept running passes through quickly; a fleet that lost all power starts slowly, since
+// caches are cold and nobody knows the rest. A front never goes back but by a loss of its own or of the majority: then from
+// `neighbours`, while what is certain is served on.
 //
-// What is trusted (the lines of `trusted()`, each with its reason and test): tokens, offsets, incarnations as floors; the last kept
-// rules if their digest fits; the record's prefix; nothing of health, warmth, lists, leases, shares (a share is its floor; each
-// lease from before is waited out). Pulls under way at the loss are in doubt: exclusive ones never run again, ticketed ones by
-// their ticket's rule alone: the front that answered is gone, so nothing is resumed.
+// What is trusted (the lines of `trusted()`, each with its reason and test): tokens, offsets, incarnations as floors; the last
+// kept rules if their digest fits; the record's prefix; nothing of health, warmth, lists, leases, shares (a share is its floor;
+// each lease from before is waited out). Pulls under way at the loss are in doubt: exclusive ones never run again, ticketed ones
+// by their ticket's rule alone: the front that answered is gone, so nothing is resumed.
 //
 // Sources: FoundationDB's recovery (an epoch ends before the next begins; a majority, not one disk, decides what survives);
 // Chubby's and Raft's restart rules. Bounds: one row a front of the fleet. A turn says
 // hello to all up to 17 fronts, else to a quarter of them, so that each is told once a second; the first of a life to all. Nobody
-// speaks once all that are heard are whole. A row is forgotten as a presence after `forget`; its floors last as long as this process.
+// speaks once all that are heard are whole. A row is forgotten as a presence after `forget`; its floors last as long as this
+// process.
 #pragma once
 #include <cstdint>
 #include <map>
@@ -61,7 +63,8 @@
   enum class State : std::uint8_t { none, empty, good, holed, foreign, older, spoilt } state = State::none;
   Floors floors;
   Id whose = 0;                          // by its own word; another's than ours: foreign, whatever `state` says
-  std::map<Id, std::uint64_t> witnessed;  // incarnations of other fronts that this disk has seen: each front's witness of the rest
+  // incarnations of other fronts that this disk has seen: each front's witness of the rest
+  std::map<Id, std::uint64_t> witnessed;
 };
 
 // What fronts tell each other while any of them is not whole (Channel::recovery).
@@ -70,7 +73,8 @@
   Ms up = 0;                    // for how long
   Phase phase = Phase::store;
   StoreSeen::State store = StoreSeen::State::none;
-  Floors floors;                // on its own trusted disk, or told by the group since; never hearsay, which one bad disk could spread
+  // on its own trusted disk, or told by the group since; never hearsay, which one bad disk could spread
+  Floors floors;
   std::uint64_t committed = 0;  // of the record, as it knows
   bool groupLeads = false, groupMember = false;
   int zone = 0;
@@ -83,7 +87,8 @@
 
 struct Terms {
   int zones = 1, zone = 0;
-  int crew = 1;  // fronts of this zone; above 1 and with no word of the list, a front passes quickly only beside one of it that kept running
+  // fronts of this zone; above 1 and with no word of the list, a front passes quickly only beside one of it that kept running
+  int crew = 1;
   Ms helloEvery = 250, forget = 3000;  // a neighbour not heard for so long is not counted
   Ms lease = 3000, margin = 200;
   double drift = 0.01;                 // leases from before are waited out: lease * (1 + drift) + margin
@@ -92,19 +97,21 @@
   Ms storeAtMost = 5000, neighboursAtMost = 5000, groupAtMost = 30000, recordAtMost = 30000, rulesAtMost = 10000;
   // How far a sound disk may be ahead of what a majority knows: more is a spoilt one.
   std::uint64_t aheadTokens = 1000, aheadOffsets = 100000;
-  // Letting in: from `first` of the usual by steps of `grow`, each `stepEvery`, while nothing behind is crowded; back by half where
-  // it is, once a step at most. Above three quarters of where it was last crowded it grows by a quarter of a step. `fit` derives
-  // them at start from the sheet's cold terms. After `lettingInAtMost` crowding no longer halves: it is the module's, as on any day.
+  // Letting in: from `first` of the usual by steps of `grow`, each `stepEvery`, while nothing behind is crowded; back by half
+  // where it is, once a step at most. Above three quarters of where it was last crowded it grows by a quarter of a step. `fit`
+  // derives them at start from the sheet's cold terms. After `lettingInAtMost` crowding no longer halves: it is the module's, as
+  // on any day.
   double first = 0.1, grow = 1.3, least = 0.02;
   Ms stepEvery = 500, lettingInAtMost = 120000;
   Ms comeBack = 2000;          // told to what is declined meanwhile
   std::vector<double> payoff;  // by offering: classes are let in in order of payoff for their work
   std::vector<double> work;    // by offering: its part of the usual work; empty: alike
-  std::vector<bool> certain;   // by offering: may be served whatever the record says (never kept, or fresh for less than a recall's term)
+  // by offering: may be served whatever the record says (never kept, or fresh for less than a recall's term)
+  std::vector<bool> certain;
 };
 
-// First step for parents that start at `from` of their capacity, where caches usually miss `usualMiss` of the work and now all of it:
-// half of what they bear if every front comes at once.
+// First step for parents that start at `from` of their capacity, where caches usually miss `usualMiss` of the work and now all
+// of it: half of what they bear if every front comes at once.
 Terms fit(Terms terms, double from, double usualMiss);
 // Once faults are over (power, links, board and group there; nothing behind crowded for good): every front is whole within this.
 Ms whole(const Terms& terms);
@@ -120,8 +127,8 @@
 // ---- what happened
 struct StoreChecked { StoreSeen seen; };
 struct Heard { Id from = 0; Hello hello; };
-// `token`: the last one granted, as a majority of the group has it; below floors().token the group is not gone by (it must found higher).
-// `lost`: its majority is gone, not merely its leader.
+// `token`: the last one granted, as a majority of the group has it; below floors().token the group is not gone by (it must found
+// higher). `lost`: its majority is gone, not merely its leader.
 struct GroupNow { bool member = false, leaderKnown = false, founded = false, lost = false; std::uint64_t token = 0; };
 struct RecordNow { std::uint64_t position = 0, committed = 0; bool caughtUp = false; Ms goodAt = -1; bool on = false; };
 struct RulesNow { bool on = false, inStep = false; std::uint64_t version = 0, digest = 0; };
@@ -153,13 +160,13 @@
   std::vector<Action> handle(Ms now, const Event& event);
   Phase phase() const;
   Ms since() const;           // of the phase
-  // The highest known by any disk not found spoilt: what this front's own word must be above. Where a majority's disks are sound, a
-  // claim further above what a majority knows than a sound disk can be is left out.
+  // The highest known by any disk not found spoilt: what this front's own word must be above. Where a majority's disks are
+  // sound, a claim further above what a majority knows than a sound disk can be is left out.
   Floors floors() const;
   bool certainOnly() const;
   bool mayOwn(Ms now) const;  // every lease from before has surely run out, and the phase is past `group`
-  // Whether a group without its log may be founded anew, or its token and offset raised, from above floors(): the disks of a majority
-  // of the fleet were heard, sound enough to judge each other by, or all were, or as
+  // Whether a group without its log may be founded anew, or its token and offset raised, from above floors(): the disks of a
+  // majority of the fleet were heard, sound enough to judge each other by, or all were, or as
   // long as the group may take has passed since.
   bool mayFound(Ms now) const;
   double carries() const;
--- a/src/rig/recovery_judge.cpp
+++ b/src/rig/recovery_judge.cpp
@@ -40,16 +40,19 @@
         break;
       }
       case Seen::What::admit:
-        if (f.started && !s.certainOnly && !s.current) say("uncertain", s, "serves what is not certain before its record is caught up");
+        if (f.started && !s.certainOnly && !s.current) say("uncertain", s,
+            "serves what is not certain before its record is caught up");
         break;
       case Seen::What::grant:
         if (s.at < s.leaseOver) say("lease", s, "owns before the leases from before are over");
-        if (s.number <= s.floor || (!run.allStoresLost && s.number <= lastToken)) say("floor", s, "token " + std::to_string(s.number) + " is not above a floor");
+        if (s.number <= s.floor || (!run.allStoresLost && s.number <= lastToken)) say("floor", s,
+            "token " + std::to_string(s.number) + " is not above a floor");
         if (s.number > (std::uint64_t{1} << 39)) say("spoilt", s, "a token from a flipped floor");
         lastToken = s.number;
         break;
       case Seen::What::committed:
-        if (s.number <= s.floor) say("floor", s, "offset " + std::to_string(s.number) + " is not above " + std::to_string(s.floor));
+        if (s.number <= s.floor)
+          say("floor", s, "offset " + std::to_string(s.number) + " is not above " + std::to_string(s.floor));
         break;
       case Seen::What::level:
         // Fronts see crowding late; a parent is pushed over where it lasts or goes far.
@@ -65,7 +68,8 @@
     }
   }
   Seen end{.what = Seen::What::power, .at = run.end};
-  if (!run.allWhole || run.end - run.faultsOver > recovery::whole(run.terms)) say("whole", end, "not every front was whole in time");
+  if (!run.allWhole || run.end - run.faultsOver > recovery::whole(run.terms)) say("whole", end,
+      "not every front was whole in time");
   if (run.wholeLoss)
     for (auto& [id, f] : fronts) {
       if (id == 0) continue;
--- a/src/rig/recoverysim.cpp
+++ b/src/rig/recoverysim.cpp
@@ -9,7 +9,8 @@
 using State = StoreSeen::State;
 
 const char* word(Fault f) {
-  static constexpr const char* words[] = {"all at once", "one zone", "all but one", "staggered 60 s", "power lost again twice", "stores at fault",
+  static constexpr const char* words[] = {"all at once", "one zone", "all but one", "staggered 60 s", "power lost again twice",
+      "stores at fault",
                                           "all stores lost", "clocks set back", "board down", "partition during the return",
                                           "one front alone", "mixed"};
   return words[static_cast<int>(f)];
@@ -114,7 +115,8 @@
 
 void RecoverySim::give(Front& f, Event e) {
   // Broken: the front asks nobody about its own disk.
-  if (auto* h = std::get_if<Heard>(&e); h && terms_.breaks.ownDisk) h->hello.floors = {}, h->hello.store = State::none, h->hello.ofYou = 0;
+  if (auto* h = std::get_if<Heard>(&e); h && terms_.breaks.ownDisk) h->hello.floors = {}, h->hello.store = State::none,
+      h->hello.ofYou = 0;
   if (auto* s = std::get_if<StoreChecked>(&e)) {
     if (terms_.breaks.foreign) {
       if (s->seen.state == State::foreign) s->seen.state = State::good;
@@ -139,7 +141,8 @@
       else one.hello = s->hello;
       flights_[later].push_back(std::move(one));
     } else if (auto* e = std::get_if<Entered>(&a)) {
-      run_.seen.push_back({.what = Seen::What::entered, .at = now_, .front = f.id, .phase = e->phase, .byTime = e->byTime, .bad = f.believed,
+      run_.seen.push_back({.what = Seen::What::entered, .at = now_, .front = f.id, .phase = e->phase, .byTime = e->byTime,
+          .bad = f.believed,
                            .why = e->why});
       if (e->phase == Phase::group) {  // a new life's incarnation: above all that is known of it
         f.incarnation = std::max({f.incarnation, static_cast<std::uint64_t>(std::max(0.0, 1000 + (now_ - f.clockSet) / 1000)),
@@ -149,7 +152,8 @@
       }
     } else if (auto* m = std::get_if<Admit>(&a)) {
       f.admit = *m, f.anyAdmit = true;
-      run_.seen.push_back({.what = Seen::What::admit, .at = now_, .front = f.id, .certainOnly = m->certainOnly, .current = f.current});
+      run_.seen.push_back({.what = Seen::What::admit, .at = now_, .front = f.id, .certainOnly = m->certainOnly,
+          .current = f.current});
       if (run_.firstSafe < 0 && powerBack_ >= 0) run_.firstSafe = now_ - powerBack_;
       if (run_.firstKept < 0 && powerBack_ >= 0 && !m->certainOnly) run_.firstKept = now_ - powerBack_;
     } else if (auto* l = std::get_if<Loss>(&a)) {
@@ -208,7 +212,8 @@
       for (Front* f : there)
         if (f->disk.log) g.token = std::max(g.token, f->disk.logToken), g.offset = std::max(g.offset, f->disk.logOffset);
       g.token = std::max(g.token, by->rec->floors().token) + 1, g.offset = std::max(g.offset, by->rec->floors().offset) + 1;
-      run_.seen.push_back({.what = Seen::What::committed, .at = now_, .front = by->id, .number = g.offset, .floor = knownOffset_});
+      run_.seen.push_back({.what = Seen::What::committed, .at = now_, .front = by->id, .number = g.offset,
+          .floor = knownOffset_});
     }
     g.since = now_, g.writeAt = now_;
   }
@@ -220,9 +225,11 @@
   }
   if (now_ >= g.writeAt) {
     g.writeAt = now_ + 200, g.offset += 1 + static_cast<std::uint64_t>(unit() * 3);
-    run_.seen.push_back({.what = Seen::What::committed, .at = now_, .front = g.leader->id, .number = g.offset, .floor = knownOffset_});
+    run_.seen.push_back({.what = Seen::What::committed, .at = now_, .front = g.leader->id, .number = g.offset,
+        .floor = knownOffset_});
   }
-  // A lease for whoever asks first. What the leader's own clock saw of earlier ones it goes by; what came before its start, by mayOwn.
+  // A lease for whoever asks first. What the leader's own clock saw of earlier ones it goes by; what came before its start, by
+  // mayOwn.
   for (auto& f : fronts_) {
     if (!f->on || !reach(*f, *g.leader) || now_ < f->askAt) continue;
     f->askAt = now_ + between(1000, 3000);
@@ -235,7 +242,8 @@
     }
     if (!may || now_ < seen) continue;
     ++g.token;
-    run_.seen.push_back({.what = Seen::What::grant, .at = now_, .front = f->id, .number = g.token, .floor = knownToken_, .leaseOver = over});
+    run_.seen.push_back({.what = Seen::What::grant, .at = now_, .front = f->id, .number = g.token, .floor = knownToken_,
+        .leaseOver = over});
     g.leases = {{now_, now_ + terms_.each.lease}};
     break;
   }
@@ -258,7 +266,8 @@
   }
   bool linked = g.leader && reach(f, *g.leader);
   if (linked && f.position < g.offset) {
-    std::uint64_t by = std::max<std::uint64_t>(10, (g.offset - f.position) / 8);  // compacted: what is missing comes in a second or so
+    // compacted: what is missing comes in a second or so
+    std::uint64_t by = std::max<std::uint64_t>(10, (g.offset - f.position) / 8);
     f.position = std::min(g.offset, f.position + by);
   }
   if (linked && f.position >= g.offset && !f.believed) f.current = true;
@@ -356,7 +365,8 @@
   std::size_t n = fronts_.size(), bad = static_cast<std::size_t>(unit() * static_cast<double>((n - 1) / 2 + 1));
   std::vector<std::size_t> order(n);
   for (std::size_t i = 0; i < n; ++i) order[i] = i;
-  for (std::size_t i = n - 1; i > 0; --i) std::swap(order[i], order[static_cast<std::size_t>(unit() * static_cast<double>(i + 1))]);
+  for (std::size_t i = n - 1; i > 0; --i) std::swap(order[i],
+      order[static_cast<std::size_t>(unit() * static_cast<double>(i + 1))]);
   auto say = [&](Front& f, const char* what) { run_.faults.push_back("store of " + std::to_string(f.id) + " " + what); };
   for (std::size_t k = 0; k < bad; ++k) {
     Front& f = *fronts_[order[k]];
@@ -364,12 +374,15 @@
       case 0: f.disk.there = f.disk.log = false, say(f, "lost"); break;
       case 1: f.disk.claims = State::holed, f.disk.position /= 2, f.disk.log = false, say(f, "torn"); break;
       case 2:  // flipped where the digest shows it
-        f.disk.claims = State::holed, f.disk.floors = {0, 0, f.disk.floors.incarnation, 0, 0}, f.disk.position = 0, f.disk.log = false;
+        f.disk.claims = State::holed, f.disk.floors = {0, 0, f.disk.floors.incarnation, 0, 0}, f.disk.position = 0,
+            f.disk.log = false;
         say(f, "flipped, found by its digest");
         break;
-      case 3: f.disk.floors.token += std::uint64_t{1} << 40, f.disk.bad = true, f.disk.log = false, say(f, "flipped in its floor"); break;
+      case 3: f.disk.floors.token += std::uint64_t{1} << 40, f.disk.bad = true, f.disk.log = false, say(f,
+          "flipped in its floor"); break;
       case 4:
-        f.disk.floors = {f.disk.floors.token - 400, f.disk.floors.offset - 80000, f.disk.floors.incarnation - 500, approvedDigest, approved};
+        f.disk.floors = {f.disk.floors.token - 400, f.disk.floors.offset - 80000, f.disk.floors.incarnation - 500,
+            approvedDigest, approved};
         f.disk.position -= 80000, f.disk.bad = true, f.disk.log = false;
         for (auto& [id, w] : f.disk.witnessed) w -= 500;
         say(f, "from a week ago");
@@ -402,7 +415,8 @@
     Ms t = now_ + between(0, 3000);
     auto off = [&](std::size_t i, Ms at) { deeds.push_back({at, 0, i}); };
     auto on = [&](std::size_t i, Ms at) { deeds.push_back({at, 1, i}), run_.faultsOver = std::max(run_.faultsOver, at); };
-    Ms gap = between(500, 8000), jitter = fault == Fault::staggered || (fault == Fault::mixed && unit() < 0.5) ? 60000 : between(0, 2000);
+    Ms gap = between(500, 8000), jitter = fault == Fault::staggered || (fault == Fault::mixed && unit() < 0.5) ? 60000 :
+        between(0, 2000);
     bool whole = true;
     int zone = static_cast<int>(unit() * terms_.zones);
     std::size_t spared = static_cast<std::size_t>(unit() * static_cast<double>(n));
@@ -415,7 +429,8 @@
         off(i, t);
         // Adverse: those of the group last.
         double place = unit();
-        if (fault == Fault::staggered) place = static_cast<double>(n - i - 1) / static_cast<double>(n) + 0.1 * unit() / static_cast<double>(n);
+        if (fault == Fault::staggered)
+          place = static_cast<double>(n - i - 1) / static_cast<double>(n) + 0.1 * unit() / static_cast<double>(n);
         on(i, t + gap + place * jitter);
       }
       whole = fault != Fault::zone;
@@ -429,7 +444,8 @@
         at = run_.faultsOver;
       }
     }
-    if (fault == Fault::stores || fault == Fault::mixed || (unit() < 0.3 && fault != Fault::alone && fault != Fault::zone && fault != Fault::allButOne))
+    if (fault == Fault::stores || fault == Fault::mixed ||
+        (unit() < 0.3 && fault != Fault::alone && fault != Fault::zone && fault != Fault::allButOne))
       deeds.push_back({t + 100, 4, 0});
     if (fault == Fault::allStores) deeds.push_back({t + 100, 5, 0}), run_.allStoresLost = true;
     if (fault == Fault::clocks || (fault == Fault::mixed && unit() < 0.3)) deeds.push_back({t + 100, 6, 0});
--- a/src/rig/recoverysim.hpp
+++ b/src/rig/recoverysim.hpp
@@ -1,7 +1,8 @@
-// A fleet losing its power and coming back, emulated on a virtual clock: each front's very Recovery machine, and small models of what
-// it asks (the group's election and log, the record's positions, rules versions, a disk each with faults) and of what lies behind
-// (zone caches that warm with what is filled, cold parents whose capacity grows with their warmth as coldTerms in src/logic.cpp has it,
-// head office, a board that may be down). No sockets, no libraft. One seed is one schedule, replayed exactly.
+// A fleet losing its power and coming back, emulated on a virtual clock: each front's very Recovery machine, and small models of
+// what it asks (the group's election and log, the record's positions, rules versions, a disk each with faults) and of what lies
+// behind (zone caches that warm with what is filled, cold parents whose capacity grows with their warmth as coldTerms in
+// src/logic.cpp has it, head office, a board that may be down). No sockets, no libraft. One seed is one schedule, replayed
+// exactly.
 #pragma once
 #include <deque>
 #include <memory>
--- a/tests/recovery_test.cpp
+++ b/tests/recovery_test.cpp
@@ -33,7 +33,8 @@
   for (const rig::Seen& s : run.seen) {
     if (s.what == rig::Seen::What::committed) continue;
     std::printf("%9.0f front %u %s %s%s%s number %llu floor %llu value %.2f %s\n", s.at, s.front, words[static_cast<int>(s.what)],
-                s.what == rig::Seen::What::entered ? word(s.phase) : "", s.byTime ? " by time" : "", s.certainOnly ? " certain only" : "",
+                s.what == rig::Seen::What::entered ? word(s.phase) : "", s.byTime ? " by time" : "", s.certainOnly ?
+                    " certain only" : "",
                 static_cast<unsigned long long>(s.number), static_cast<unsigned long long>(s.floor), s.value, s.why.c_str());
   }
 }
@@ -115,7 +116,8 @@
   }));
   CHECK(rc::check("a hello survives its bytes; a cut or garbled one never throws", [] {
     Hello h;
-    h.life = *rc::gen::arbitrary<std::uint64_t>(), h.up = *rc::gen::inRange(0, 1 << 30), h.phase = Phase::record, h.store = State::holed;
+    h.life = *rc::gen::arbitrary<std::uint64_t>(), h.up = *rc::gen::inRange(0, 1 << 30), h.phase = Phase::record,
+        h.store = State::holed;
     h.floors = {*rc::gen::arbitrary<std::uint64_t>(), 2, 3, *rc::gen::arbitrary<std::uint64_t>(), 5};
     h.zone = *rc::gen::inRange(0, 100), h.carries = 0.25, h.ofYou = *rc::gen::arbitrary<std::uint64_t>(), h.groupLeads = true;
     std::string bytes = encode(h);
@@ -138,8 +140,10 @@
 TEST_CASE("trust: another's disk, an old one and a lease from before; nothing of a lost disk is kept") {
   Terms t;
   t.payoff = {1}, t.certain = {false};
-  auto spoilt = [](const std::vector<Action>& out) { return std::any_of(out.begin(), out.end(), [](auto& a) { return std::holds_alternative<Spoilt>(a); }); };
-  StoreSeen other{State::good, {900, 900, 900, 1, 1}, 2, {}}, old{State::older, {900, 900, 900, 1, 1}, 1, {}}, holed{State::holed, {9, 9, 9, 1, 1}, 1, {}};
+  auto spoilt = [](const std::vector<Action>& out) { return std::any_of(out.begin(), out.end(),
+      [](auto& a) { return std::holds_alternative<Spoilt>(a); }); };
+  StoreSeen other{State::good, {900, 900, 900, 1, 1}, 2, {}}, old{State::older, {900, 900, 900, 1, 1}, 1, {}},
+      holed{State::holed, {9, 9, 9, 1, 1}, 1, {}};
   for (const StoreSeen& s : {other, old}) {
     Recovery r(1, {1, 2, 3}, t, 1, 0);
     CHECK(spoilt(r.handle(0, StoreChecked{s})));
@@ -237,8 +241,10 @@
   Terms t;
   for (const PhaseLine& p : phaseTable()) {
     Ms most = atMost(p.phase, t);
-    std::string start = std::string("| ") + word(p.phase) + " | " + (most > 0 ? std::to_string(static_cast<int>(most / 1000)) + " s" : "without end") + " | ";
-    bool there = std::any_of(rows.begin(), rows.end(), [&](const std::string& r) { return r.rfind(start, 0) == 0 && r.find(p.on) != std::string::npos && r.find(p.then) != std::string::npos; });
+    std::string start = std::string("| ") + word(p.phase) + " | " + (most > 0 ?
+        std::to_string(static_cast<int>(most / 1000)) + " s" : "without end") + " | ";
+    bool there = std::any_of(rows.begin(), rows.end(), [&](const std::string& r) { return r.rfind(start,
+        0) == 0 && r.find(p.on) != std::string::npos && r.find(p.then) != std::string::npos; });
     CHECK_MESSAGE(there, "no row that starts with " << start << " and tells what lets on and what then");
   }
   std::string all;
