--- a/src/record/keepers.hpp
+++ b/src/record/keepers.hpp
@@ -3,16 +3,28 @@
 // primary and backups behind that fence, with the model check in tests/keepers_test.cpp beside it.
 //
 // What it promises (and the checker in src/rig/record_judge.* looks at):
-// - An entry is acknowledged once a majority of the configured keepers has it on disk under its writer's token.
-// - Acknowledged entries are never lost, changed or put in another order, while a majority of keepers keeps its disk.
+// - An entry is acknowledged once a majority of the configured keepers has it on disk, and all before it.
+// - Acknowledged entries are never lost, changed or put in another order, while a majority of keepers keeps its disk; with
+//   `doubtRestarts` also where the disks of a minority come back older than they were, witnessed or not (below).
 // - A new writer first has a majority promise its token (lower ones land nowhere from then on), takes the best tail among
-//   them (highest token of the last entry, then highest offset), writes what is not known committed anew under its own
-//   token, and takes writes only once that is at a majority.
-// - A keeper's word counts in that majority only if its disk is not found to be old: others witness how far it was known to hold
-//   (Head::seen, carried on appends), and one that is behind that, or whose store is another's, is `spoilt`: it counts again
-//   once the writer has brought it up to what is committed. A founding with all stores empty is told aloud.
+//   them (highest token of the last entry, then highest offset), and brings a majority up to it. Of what is not known committed
+//   the last entry alone goes out anew under its own token: it stands for all before it. (All anew, one after the other, would lose
+//   acknowledged entries: a keeper that had taken the first of them only would have the highest token and the shorter tail.)
+//   It takes writes only once that is at a majority.
+// - A keeper counts only if its disk is not found to be old: others witness how far it was known to hold of what is committed
+//   (Head::seen, carried on heartbeats). One behind that, one empty while others are not, one with holes or half brought up
+//   is `spoilt`: it counts again once the writer has brought it up. All empty: founded anew, which takes every keeper and is told aloud.
+// - What no witness has seen yet (the last heartbeat's worth) an old disk can still undo unseen, its promise too. `doubtRestarts`
+//   guards against it at a price: a keeper started anew is doubted, and a majority among whom u are doubted must be larger by
+//   min(u, the minority): of three, all three, until a writer has proved the one that restarted. Off by default: with one
+//   keeper gone and one restarted, the record would stand still.
+// - A word of a keeper's earlier life is not taken: appends and answers carry the life that answered the writer's Seek.
 // - A compaction plan goes out under the token, so a late owner's plan lands nowhere.
-// Bounds: `mostUnderWay` appends in flight, bytes a message; a keeper far behind is brought up in pieces of `pieceBytes`.
+// - A keeper behind what was forgotten is brought up anew, by pieces of another's compacted log; it forgets its own first,
+//   so only once what is compacted is held by a majority without it, or it surely holds less.
+// Bounds: `mostUnderWay` batches and `mostWindow` bytes in flight at the writer; `pieceBytes` a message, but one entry at least.
+// Sources: Raft (log matching; entries of before count only with one of the own term), Viewstamped Replication Revisited (views,
+// recovery by others' word), Alagappan et al., Protocol-Aware Recovery (a broken disk takes no part in the choice).
 #pragma once
 #include <functional>
 #include <map>
@@ -27,16 +39,26 @@
 
 struct KeeperTerms {
   Ms again = 200, heartbeat = 500;
-  std::size_t pieceBytes = 48 << 10, mostUnderWay = 256;
+  std::size_t pieceBytes = 48 << 10, mostUnderWay = 256, mostWindow = 1 << 20;
+  bool doubtRestarts = false;
+  // Broken on purpose, for the checker to catch; all false in service.
+  bool breakReuse = false;     // an offset is taken that was given already
+  bool breakOwnDisk = false;   // its own tail is believed, whatever a majority has
+  bool breakFence = false;     // plans are not fenced by the token
+  bool breakMajority = false;  // acknowledged as one keeper has it
+  bool breakLongest = false;   // the tail is chosen by length
+  bool breakRewrite = false;   // all that is not known committed is written anew
 };
 
 // ---- messages (proto/record.proto on the wire, by encode()/decode())
 struct Seek {  // writer to keeper: promise this token, tell your tail
   Token token = 0;
+  std::uint64_t round = 0;
 };
 struct Tail {
   Token token = 0;     // promised; above the asker's: it is fenced off
-  std::uint64_t store = 0, starts = 0;
+  std::uint64_t store = 0, starts = 0, round = 0, life = 0;  // life: drawn anew at each start; of no order
+  bool doubted = false;  // not proved by a writer since its start
   Offset last = 0, committed = 0, first = 1, cleaned = 0, forgotten = 0;
   Token lastToken = 0;
   std::vector<std::pair<Id, Offset>> seen;
@@ -45,20 +67,29 @@
 };
 struct Append {
   Token token = 0;
+  std::uint64_t life = 0;  // of the keeper that is meant
   Offset after = 0;      // the entries follow this one ...
   Token afterToken = 0;  // ... which has this token at the writer (0: not known, where it is compacted)
   Offset committed = 0;
-  bool anew = false;     // a keeper that is spoilt or too far behind: drop all above `after` that differs
+  bool anew = false;     // a piece of a compacted log; after 0: all that is here goes first
+  std::uint64_t session = 0;  // of anew: each is begun once, so that a late double throws nothing away
+  bool proves = false;   // doubted no more
+  Offset cleaned = 0, forgotten = 0;  // gaps up to the first are compacted; the second is known of the record
+  Offset passed = 0;     // the least position of living subscribers
   std::vector<Entry> entries;
   std::vector<std::pair<Id, Offset>> held;  // by keeper: what it is known to hold (to be witnessed)
   Plan plan;             // upTo 0: none
 };
 struct Kept {
-  Token token = 0;
+  Token token = 0;  // promised
+  std::uint64_t life = 0;
   Offset upTo = 0;    // what it holds in common with the writer, on disk
   bool refused = false, full = false;
-  Offset last = 0;    // of refused: its tail, for the writer to go back
+  bool unsought = false;  // of a life that this writer has not heard of
+  bool partial = false;   // being brought up anew
+  Offset last = 0, hint = 0;  // its tail; of refused: from where on to try
   std::vector<Offset> holes;
+  Plan plan;  // what it finds worth cleaning
 };
 struct Fetch {  // of a keeper, by the writer on taking over or by anybody to heal
   Offset after = 0, upTo = 0;
@@ -66,6 +97,8 @@
 };
 struct Fetched {
   Offset after = 0, upTo = 0;  // whole between: what is not there was compacted
+  Token afterToken = 0;        // 0: not known
+  Offset committed = 0, cleaned = 0, forgotten = 0;
   std::vector<Entry> entries;
 };
 using Message = std::variant<Seek, Tail, Append, Kept, Fetch, Fetched>;
@@ -76,9 +109,10 @@
 
 class Keeper {
  public:
-  Keeper(Id self, std::vector<Id> keepers, KeeperTerms terms, Log& log);
+  // `life`: another at each start, of any of its disks (0: the disk's count of starts, which an old copy repeats).
+  Keeper(Id self, std::vector<Id> keepers, KeeperTerms terms, Log& log, std::uint64_t life = 0);
   void receive(Ms now, Id from, const Message& m, const Send& send);
-  void tick(Ms now, const Send& send);  // steps of a compaction, healing of holes from the others
+  void tick(Ms now, const Send& send, Ms unixNow = -1);  // steps of a compaction, healing of holes from the others
   bool failed() const;                  // its disk failed: it takes no part until the next start
   Log& log();
 
@@ -105,12 +139,15 @@
   void tick(Ms now, const Send& send);
   void receive(Ms now, Id from, const Message& m, const Send& send);
   // All of a batch get offsets in a row and are acknowledged together. False: not serving, or too much under way.
-  bool put(Ms now, const std::vector<Put>& batch, Done done, const Send& send);
+  // `now` of put() is the owner's Unix clock where `at` is given none.
+  bool put(Ms now, const std::vector<Put>& batch, Done done, const Send& send, Ms at = -1);
+  // Where not called, nothing is forgotten.
   void passed(Ms now, Offset least);  // the least position of living subscribers (src/record/subscribers.hpp)
   void stop();                        // ownership is over: what is under way is told as unsure
   Phase phase() const;
   Token token() const;
   Offset committed() const;
+  bool founded() const;  // all keepers were empty: to be told aloud
   std::map<Id, Offset> held() const;
 
  private:
