--- a/src/record/log.hpp
+++ b/src/record/log.hpp
@@ -9,6 +9,8 @@
 // - Worth doing once dead bytes exceed `deadShare` of what would be cleaned.
 // - Carried out in steps within a budget (entries a step); each step is one disk call; stoppable and resumable at each: the
 //   head keeps how far (`cleaned`, `forgotten`), and a plan begun anew comes to the same end. Offsets never move.
+//   A step walks entries in offset order and drops the one before it of the same key: so what is left after a step is what a
+//   plan up to there would have left, and tombstones go last, once nothing is below them that they hide.
 // Bounds: `mostBytes` in memory, then append answers full. No entry is dropped but by a plan or by truncate().
 #pragma once
 #include <deque>
@@ -20,44 +22,75 @@
 
 namespace dunlinwick::record {
 
+// Broken on purpose in tests, to show that the checks see; all false in service.
+struct Breaks {
+  bool tombstoneEarly = false;     // let go whatever its term and whoever has not passed it
+  bool gapAfterSnapshot = false;   // the tail begins at what is committed as the snapshot ends
+  bool resumedForgotten = false;   // one behind `forgotten` is not told to start over
+  bool digestUnchecked = false;    // of a piece
+};
 struct LogTerms {
   std::size_t mostBytes = 8 << 20;
   Ms lag = 10 * 60 * 1000, tombstoneTerm = 24 * 60 * 60 * 1000.0;
   double deadShare = 0.5;
   std::size_t entriesAStep = 256;
+  Breaks breaks = {};
 };
 struct Plan {
   Token token = 0;
   Offset upTo = 0, forget = 0;
   bool operator==(const Plan&) const = default;
 };
+// How far the log was compacted that entries came from: gaps up to `cleaned` are no holes.
+struct Source {
+  Offset cleaned = 0, forgotten = 0;
+};
 
 class Log {
  public:
-  // Reads the disk. `self` and `store`: a head of another keeper is refused (Failed: a swapped disk). Holes are kept as such.
+  // Reads the disk, counts its start. `self`, `newStore` (of a new disk): a head of another keeper is refused (Failed: a swapped
+  // disk). Holes are kept as such: what does not fit its digest, and what is missing above `cleaned`.
   Log(Id self, LogTerms terms, Disk& disk, std::uint64_t newStore);
   ~Log();
   const Head& head() const;
-  Offset last() const;          // 0: none
-  Token lastToken() const;
+  bool failed() const;          // a call of the disk failed: each further writing call throws Failed
+  Offset last() const;          // 0: none; never goes back by compaction
+  Token lastToken() const;      // 0: none, or a hole
   std::optional<Token> tokenAt(Offset offset) const;  // nothing: compacted, a hole, or beyond
   const Entry* at(Offset offset) const;
   const Entry* latest(Stream stream, const std::string& key) const;  // at or below committed; tombstones told as such
-  // Entries above `after` and at or below `upTo`, in order, at most `bytes` of them but at least one.
-  std::vector<Entry> read(Offset after, Offset upTo, std::size_t bytes) const;
-  void append(Offset from, const std::vector<Entry>& entries);  // from: as Disk::append; only above committed
+  // Entries above `after` and at or below `upTo`, in order, at most `bytes` of them (keys, values, 40 each) but at least one; never
+  // past a hole. `reached`: all up to it is told (upTo where nothing cut it short; `after` where a hole is next).
+  std::vector<Entry> read(Offset after, Offset upTo, std::size_t bytes, Offset* reached = nullptr) const;
+  // Whether what is served is a whole state: nothing above what is committed was compacted (a keeper being brought up is not).
+  bool whole() const;
+  // The calls below write to the disk before memory; Full: nothing has changed. Failed: see failed().
+  // from: as Disk::append; only above committed and cleaned. False, and nothing is changed: not in a row with what is here (gaps
+  // only up to `source.cleaned`), against the bounds of Entry, below what is committed, or what was forgotten at the source
+  // lies above what is here (then only anew() brings it up).
+  bool append(Offset from, const std::vector<Entry>& entries, Source source = {});
+  // Begins anew from another's log: all here goes, committed included; the entries are its first ones.
+  bool anew(const std::vector<Entry>& entries, Source source);
   void promise(Token token);
-  void commit(Offset upTo);
-  void witness(Id other, Offset upTo);
+  void commit(Offset upTo);               // at most to last(); never back
+  void witness(Id other, Offset upTo);    // on disk with the next writing call, or keep()
+  void keep();                            // writes the head, if it has changed
   std::vector<Offset> holes(std::size_t most) const;
   bool heal(const Entry& entry);  // false: not a hole
-  // What is worth cleaning now, if anything; `passed`: the least position of living subscribers.
+  // A whole keeper that has cleaned past it has nothing there: it was compacted. Only the first hole, and only what is committed
+  // here; false else.
+  bool close(Offset hole);
+  // What is worth cleaning now, if anything; `passed`: the least position of living subscribers. An entry is young if its
+  // time is within `lag` of `now`, on either side: one of a clock gone wrong does not stop compaction for ever.
   std::optional<Plan> worth(Ms now, Offset passed, Token token) const;
-  void take(const Plan& plan);  // of a token at least as high as any before; else passed over
-  bool step();                  // one step of what was taken; false: nothing is left to do
-  std::size_t bytes() const, deadBytes() const, size() const;
-  // Of what is live at or below `upTo` (latest of each key, tombstones up to `forgotten` left out): the same at keepers that hold the same.
-  std::uint64_t digest(Offset upTo) const;
+  void take(const Plan& plan);  // of a token at least as high as any before; else passed over. In memory only
+  // One step of what was taken; false: nothing is left to do now. Not past what is committed here, not the last entry, and not
+  // while there is a hole in what would be cleaned (what is healed must not come back to life).
+  bool step();
+  std::size_t bytes() const, deadBytes() const, size() const;  // in memory; dead: superseded by what is here
+  // Of what is live at or below `upTo` (latest of each key, tombstones up to `forgotten` left out, or up to own forgotten, if
+  // that is higher): the same at keepers that hold the same, whatever they compacted, for upTo >= cleaned of both.
+  std::uint64_t digest(Offset upTo, Offset forgotten = 0) const;
 
  private:
   struct Inner;
