--- a/src/record/subscribers.hpp
+++ b/src/record/subscribers.hpp
@@ -23,6 +23,7 @@
 struct SubscriberTerms {
   Ms lease = 30000, askEvery = 200, again = 400;
   std::size_t pieceBytes = 32 << 10, mostSubscribers = 1024;
+  Breaks breaks = {};
 };
 
 struct Want {  // subscriber to keeper
@@ -37,18 +38,22 @@
   std::vector<Entry> entries;
   std::uint64_t digest = 0;  // over all of the above
 };
+std::uint64_t digest(const Piece& p);  // what Piece::digest must be
 struct Lease {  // keeper to the writer's front, gathered: positions of its living subscribers
   std::vector<std::pair<std::uint64_t, Offset>> positions;
 };
 using Saying = std::variant<Want, Piece, Lease>;
 std::string encode(const Saying& s);
+// Nothing for anything that is not one of them, or is out of bounds. A piece's digest is looked at by the subscriber.
 std::optional<Saying> decodeSaying(std::span<const char> bytes);
 
-// A keeper's side: answers from its own log; what it holds of leases is told to the writer by Lease.
+// A keeper's side: answers from its own log; what it holds of leases is told to the writer by Lease. A subscriber's entry is
+// emptied once its lease has run; an entry of a life is taken over by a later life only.
 class Server {
  public:
   Server(Log& log, SubscriberTerms terms, Ms now);
-  std::optional<Piece> wants(Ms now, const Want& want);  // nothing: full of subscribers
+  // Nothing: full of subscribers, a late copy of an earlier question, or this keeper is itself being brought up (Log::whole()).
+  std::optional<Piece> wants(Ms now, const Want& want);
   Lease living(Ms now) const;
   Offset passed(Ms now) const;  // least position of the living; the log's committed offset where there is none
 
@@ -71,9 +76,12 @@
   void receive(Ms now, Id from, const Piece& piece, const Out& out);
   Offset position() const;
   Offset committed() const;  // the highest told by a keeper
-  bool caughtUp() const;     // position >= what a keeper told as committed, in its last answer, and past the snapshot
-  Ms goodAt() const;         // when the question was asked whose answer last showed it caught up; < 0: never
-  std::uint64_t bytes() const;
+  bool caughtUp() const;     // position >= the highest told as committed, and past the snapshot
+  // When the question was asked whose answer last showed it caught up with a keeper not behind the highest told; < 0: never. A
+  // keeper that is cut off from the writer does not know that it is behind: what it answers is as good as its own news.
+  Ms goodAt() const;
+  std::uint64_t bytes() const;    // of keys and values told, and 40 for each entry
+  std::uint64_t refused() const;  // pieces that did not fit: digest, order, or another place than asked for
 
  private:
   struct Inner;
