--- a/src/record/keeper.cpp
+++ b/src/record/keeper.cpp
@@ -34,7 +34,7 @@
     t.token = h.promised, t.store = h.store, t.starts = h.starts, t.round = round, t.life = life, t.doubted = doubted;
     t.last = log.last(), t.committed = partial() ? 0 : h.committed, t.first = h.first, t.cleaned = h.cleaned, t.forgotten = h.forgotten;
     t.lastToken = log.lastToken(), t.seen = h.seen, t.holes = log.holes(holesATime);
-    t.spoilt = !t.holes.empty() || partial();
+    t.spoilt = !t.holes.empty();
     return t;
   }
 
@@ -55,6 +55,9 @@
     if (m.anew && m.after == 0) {
       // A late double would throw away what came since.
       if (begun == std::pair(m.token, m.session)) return false;
+      // How far it was: one half brought up is not taken for one whose disk is old. (Else, with a minority of disks lost, a third
+      // keeper caught in between would keep all from going on for ever.)
+      log.witness(self, log.last());
       if (!log.anew(m.entries, {std::min(m.cleaned, end), std::min(m.forgotten, end)})) return false;
       begun = {m.token, m.session};
       return upTo = end, true;
@@ -105,8 +108,8 @@
       }
       for (auto [id, held] : m.held)
         if (id != self && knows(id)) log.witness(id, held);
+      if (!m.held.empty()) log.keep();
       if (m.entries.empty()) {
-        log.keep();
         if (!k.refused && !k.partial)
           if (auto p = log.worth(unixNow, m.passed, m.token)) k.plan = *p;
       }
@@ -207,6 +210,8 @@
 }
 
 bool Keeper::failed() const { return inner_->failed || inner_->log.failed(); }
+bool Keeper::doubted() const { return inner_->doubted; }
+void Keeper::setDoubted(bool doubted) { inner_->doubted = doubted; }
 Log& Keeper::log() { return inner_->log; }
 
 }  // namespace dunlinwick::record
--- a/src/record/keepers.hpp
+++ b/src/record/keepers.hpp
@@ -105,6 +105,7 @@
 std::string encode(const Message& m);
 std::optional<Message> decode(std::span<const char> bytes);  // nothing for anything that is not one whole
 
+// Only queues: it must not call back into who sends.
 using Send = std::function<void(Id to, const Message&)>;
 
 class Keeper {
@@ -115,6 +116,8 @@
   void tick(Ms now, const Send& send, Ms unixNow = -1);  // steps of a compaction, healing of holes from the others
   bool failed() const;                  // its disk failed: it takes no part until the next start
   Log& log();
+  bool doubted() const;
+  void setDoubted(bool doubted);  // for an exploration that takes states apart and puts them together
 
  private:
   struct Inner;
@@ -149,6 +152,8 @@
   Offset committed() const;
   bool founded() const;  // all keepers were empty: to be told aloud
   std::map<Id, Offset> held() const;
+  Writer copy() const;        // for an exploration: another one in the same state ...
+  std::string state() const;  // ... told apart by it; times are left out
 
  private:
   struct Inner;
--- a/src/record/writer.cpp
+++ b/src/record/writer.cpp
@@ -43,6 +43,7 @@
   std::uint64_t round = 1;
   bool roundOpen = true;
   std::map<Id, Tail> tails;
+  std::map<Id, Offset> witnessed;  // by keeper: what it was known to hold of what is committed
   Id best = 0;
   Offset bestLast = 0;
   Ms asked = -1e300, progressed = 0;
@@ -71,7 +72,7 @@
     if (o == base) return baseToken;
     return o > base && o <= last() ? window[o - base - 1].token : 0;
   }
-  bool counts(const Peer& p) const { return p.known && (p.cleared || !terms.doubtRestarts) && !p.holed && !p.partial; }
+  bool counts(const Peer& p) const { return p.known && p.cleared && !p.holed && !p.partial; }
 
   void fence() {
     if (phase == Phase::fenced) return;
@@ -82,11 +83,19 @@
   }
 
   // ---- taking over
+  // One half brought up holds less than it did: it let go only of what a majority had without it, so it is whole, but behind.
+  static bool partial(const Tail& t) { return t.cleaned > t.committed; }
+  static Offset reach(Id id, const Tail& t) {
+    Offset n = t.last;
+    for (auto [who, upTo] : t.seen)
+      if (who == id) n = std::max(n, upTo);
+    return n;
+  }
   bool spoilt(Id id, const Tail& t, bool someHold) const {
     if (t.spoilt || (someHold && t.last == 0)) return true;
     for (const auto& [other, o] : tails)
       for (auto [who, upTo] : o.seen)
-        if (who == id && upTo > t.last) return true;
+        if (who == id && upTo > reach(id, t)) return true;
     return false;
   }
   // Those of this round whose word counts, if they are enough.
@@ -104,7 +113,7 @@
     Offset most = 0;
     for (const auto& [id, t] : tails) {
       if (spoilt(id, t, someHold)) continue;
-      ok.push_back(id), doubted += t.doubted ? 1 : 0, most = std::max(most, t.last);
+      ok.push_back(id), doubted += t.doubted ? 1 : 0, most = std::max(most, partial(t) ? 0 : t.last);
     }
     std::size_t need = majority(), minority = keepers.size() - need, bad = tails.size() - ok.size();
     // Up to a minority of disks may be old: those found to be so are of it.
@@ -125,7 +134,7 @@
     };
     best = ok->front();
     for (Id id : *ok)
-      if (better(tails.at(id), tails.at(best))) best = id;
+      if (!partial(tails.at(id)) && (partial(tails.at(best)) || better(tails.at(id), tails.at(best)))) best = id;
     if (terms.breakOwnDisk && tails.count(self)) best = self;
     const Tail& t = tails.at(best);
     bestLast = t.last;
@@ -139,8 +148,8 @@
     foundedAnew = bestLast == 0;
     base = committed, baseToken = base == t.last ? t.lastToken : 0;
     window.clear(), windowBytes = 0;
-    for (const auto& [id, o] : tails) meet(id, o);
-    for (Id id : *ok) peers.at(id).cleared = true;
+    // A majority has just promised: whoever has promised with it, old or empty, counts for what we bring it.
+    for (const auto& [id, o] : tails) meet(id, o), peers.at(id).cleared = true;
     phase = Phase::fetching, progressed = now;
     fetchTail(now, send);
   }
@@ -171,10 +180,17 @@
       pump(now, id, send);
     }
   }
+  // It may have forgotten a promise to a later writer: it counts only after another round of a majority's promises. Without it,
+  // a late owner takes acknowledged offsets again, with the help of a keeper that lost its disk.
+  bool suspicious(Id id, const Tail& t) const {
+    auto w = witnessed.find(id);
+    return t.doubted && (terms.doubtRestarts || t.starts <= 1 || t.last == 0 || t.spoilt || (w != witnessed.end() && reach(id, t) < w->second));
+  }
   // A life of a keeper is met: what it has in common with us is not known yet.
   void meet(Id id, const Tail& t) {
     Peer& p = peers.at(id);
-    p = Peer{.known = true, .cleared = !t.doubted, .holed = !t.holes.empty(), .partial = t.spoilt && t.holes.empty(), .life = t.life,
+    for (auto [who, upTo] : t.seen) witnessed[who] = std::max(witnessed[who], upTo);
+    p = Peer{.known = true, .cleared = !suspicious(id, t), .holed = !t.holes.empty(), .partial = partial(t), .life = t.life,
              .next = std::min(t.last, last()) + 1, .last = t.last};
   }
 
@@ -272,12 +288,12 @@
     bool fresh = !p.known || p.life != t.life;
     if (fresh) meet(from, t);
     cleaned = std::max(cleaned, t.cleaned), forgotten = std::max(forgotten, t.forgotten);
-    if (terms.doubtRestarts && !p.cleared && !roundOpen) openRound(now, send);
+    if (!p.cleared && !roundOpen) openRound(now, send);
     if (roundOpen)
-      if (auto ok = enough()) {
+      if (enough()) {
         roundOpen = false;
-        for (Id id : *ok)
-          if (peers.at(id).life == tails.at(id).life) peers.at(id).cleared = true;
+        for (const auto& [id, o] : tails)
+          if (peers.at(id).life == o.life) peers.at(id).cleared = true;
         advance(now, send);
       }
     if (fresh) pump(now, from, send, true);
@@ -292,6 +308,7 @@
     Peer& p = peers.at(from);
     if (!p.known || phase < Phase::rewriting || phase == Phase::fenced) return;
     if (k.unsought && k.life != p.life) {
+      witnessed[from] = std::max(witnessed[from], std::min(p.match, committed));
       p = Peer{};
       if (terms.doubtRestarts) return openRound(now, send);
       p.sought = now;
@@ -357,6 +374,12 @@
       for (Id id : keepers)
         if (!tails.count(id)) send(id, Seek{token, round});
     }
+    if (!roundOpen && now >= asked + 4 * terms.again)
+      for (const auto& [id, p] : peers)
+        if (p.known && !p.cleared) {  // brought up by now, perhaps
+          openRound(now, send);
+          break;
+        }
     for (auto& [id, p] : peers) {
       if (phase == Phase::fenced) return;
       if (!p.known) {
@@ -426,6 +449,24 @@
 Token Writer::token() const { return inner_->token; }
 Offset Writer::committed() const { return inner_->committed; }
 bool Writer::founded() const { return inner_->foundedAnew; }
+Writer Writer::copy() const {
+  Writer w(*this);
+  w.inner_ = std::make_shared<Inner>(*inner_);
+  return w;
+}
+std::string Writer::state() const {
+  const Inner& in = *inner_;
+  std::string s;
+  auto add = [&](auto... v) { ((s += std::to_string(v) + ' '), ...); };
+  add(in.token, static_cast<int>(in.phase), in.round, in.roundOpen, in.best, in.bestLast, in.base, in.committed, in.baseToken, in.cleaned,
+      in.forgotten, in.plan.upTo, in.sessions, in.foundedAnew);
+  for (const auto& [id, p] : in.peers)
+    add(id, p.known, p.cleared, p.holed, p.partial, p.full, p.probing, p.life, p.match, p.next, p.last, p.fetching, p.fetchAfter, p.session);
+  for (const auto& [id, t] : in.tails) add(id, t.life, t.last, t.lastToken, t.committed, t.doubted, t.spoilt, t.seen.size());
+  for (const Entry& e : in.window) add(e.offset, e.token, digest(e));
+  for (const auto& u : in.under) add(u.first, u.last);
+  return s;
+}
 std::map<Id, Offset> Writer::held() const {
   std::map<Id, Offset> out;
   for (const auto& [id, p] : inner_->peers) out[id] = p.match;
--- /dev/null
+++ b/tests/keepers_explore.cpp
@@ -0,0 +1,1 @@
+#include "keepers_explore.hpp"
