--- a/src/record/keeper.cpp
+++ b/src/record/keeper.cpp
@@ -7,6 +7,7 @@
 
 namespace {
 constexpr Offset healing = ~Offset{0};  // Fetched::after of an answer to Fetch::only
+constexpr Id proving = 0;  // in Head::seen, which only grows: how often it was proved, or found to be old
 constexpr std::size_t holesATime = 16;
 }  // namespace
 
@@ -22,16 +23,30 @@
   std::pair<Token, std::uint64_t> begun{0, 0};  // the last session anew
 
   Inner(Id s, std::vector<Id> k, KeeperTerms t, Log& l, std::uint64_t n)
-      : self(s), keepers(std::move(k)), terms(t), log(l), life(n != 0 ? n : l.head().starts) {}
+      : self(s), keepers(std::move(k)), terms(t), log(l), life(n != 0 ? n : l.head().starts) {
+    // Entries that may be acknowledged are gone with a hole above what is known committed, and the next append covers it up.
+    auto holes = log.holes(SIZE_MAX);
+    if (!holes.empty() && holes.back() > log.head().committed) safely([&] { mark(false); });
+  }
 
   bool knows(Id id) const { return std::find(keepers.begin(), keepers.end(), id) != keepers.end(); }
+  Offset marks() const {
+    for (auto [who, n] : log.head().seen)
+      if (who == proving) return n;
+    return 0;
+  }
+  void mark(bool proved) {
+    if ((marks() % 2 == 1) == proved) return;
+    log.witness(proving, marks() + 1);
+    log.keep();
+  }
   // Begun anew and not yet brought up to where its source was compacted.
   bool partial() const { return !log.whole(); }
 
   Tail tail(std::uint64_t round) const {
     const Head& h = log.head();
     Tail t;
-    t.token = h.promised, t.store = h.store, t.starts = h.starts, t.round = round, t.life = life, t.doubted = doubted;
+    t.token = h.promised, t.store = h.store, t.starts = h.starts, t.round = round, t.life = life, t.doubted = doubted, t.unproved = marks() % 2 == 0;
     t.last = log.last(), t.committed = partial() ? 0 : h.committed, t.first = h.first, t.cleaned = h.cleaned, t.forgotten = h.forgotten;
     t.lastToken = log.lastToken(), t.seen = h.seen, t.holes = log.holes(holesATime);
     t.spoilt = !t.holes.empty();
@@ -40,8 +55,9 @@
 
   // Where what it has may still be what the writer has: below all that has the token of what differs.
   Offset hint(Offset after) const {
-    Offset last = log.last(), floor = partial() ? 0 : log.head().committed;
+    Offset last = log.last(), floor = log.head().committed;
     if (last < after) return last;
+    if (partial()) return 0;  // anew
     auto differs = log.tokenAt(after);
     Offset at = after == 0 ? 0 : after - 1;
     while (at > floor && differs && log.tokenAt(at) == differs) --at;
@@ -87,14 +103,15 @@
     k.life = life, k.token = h.promised, k.last = log.last();
     if (m.token < h.promised && terms.breakFence && m.plan.upTo != 0) log.take({h.promised, m.plan.upTo, m.plan.forget});
     if (m.token < h.promised || m.life != life || m.token > h.promised) {
-      k.refused = true, k.unsought = m.token >= h.promised;
+      k.refused = true, k.unsought = m.token >= h.promised, k.partial = partial();
       return send(from, k);
     }
     bool known = (!partial() && m.after <= h.committed) || m.after == 0 || (m.afterToken != 0 && log.tokenAt(m.after) == m.afterToken);
     Offset upTo = 0;
     try {
+      if (m.spoilt) mark(false);
       if (!known || !write(m, upTo)) {
-        k.refused = true, k.hint = hint(m.after);
+        k.refused = true, k.hint = hint(m.after), k.partial = partial();
       } else {
         // Of a log begun anew nothing is served below where its source was compacted: keys would be missing.
         bool whole = !partial() || upTo >= m.cleaned;
@@ -104,7 +121,7 @@
         if (m.plan.upTo != 0 && m.plan.token == m.token) log.take(m.plan);
         k.upTo = upTo;
         k.holes = log.holes(holesATime), k.partial = partial();
-        if (m.proves && upTo >= m.committed && k.holes.empty() && !k.partial) doubted = false;
+        if (m.proves && upTo >= m.committed && k.holes.empty() && !k.partial) doubted = false, mark(true);
       }
       for (auto [id, held] : m.held)
         if (id != self && knows(id)) log.witness(id, held);
--- a/src/record/keepers.hpp
+++ b/src/record/keepers.hpp
@@ -14,6 +14,9 @@
 // - A keeper counts only if its disk is not found to be old: others witness how far it was known to hold of what is committed
 //   (Head::seen, carried on heartbeats). One behind that, one empty while others are not, one with holes or half brought up
 //   is `spoilt`: it counts again once the writer has brought it up. All empty: founded anew, which takes every keeper and is told aloud.
+//   The mark is on its own disk (Head::seen of Id 0: odd once proved), or one half brought up would soon pass for a whole one.
+//   With every keeper's answer in, nobody is left out but for holes: a majority of them is whole.
+// - One that lost its disk has lost its promise too: it counts for a writer only after a further round of a majority's promises.
 // - What no witness has seen yet (the last heartbeat's worth) an old disk can still undo unseen, its promise too. `doubtRestarts`
 //   guards against it at a price: a keeper started anew is doubted, and a majority among whom u are doubted must be larger by
 //   min(u, the minority): of three, all three, until a writer has proved the one that restarted. Off by default: with one
@@ -58,7 +61,8 @@
 struct Tail {
   Token token = 0;     // promised; above the asker's: it is fenced off
   std::uint64_t store = 0, starts = 0, round = 0, life = 0;  // life: drawn anew at each start; of no order
-  bool doubted = false;  // not proved by a writer since its start
+  bool doubted = false;   // not proved by a writer since its start
+  bool unproved = false;  // by its disk: new, or found old or holed, and not brought up by a serving writer since
   Offset last = 0, committed = 0, first = 1, cleaned = 0, forgotten = 0;
   Token lastToken = 0;
   std::vector<std::pair<Id, Offset>> seen;
@@ -74,6 +78,7 @@
   bool anew = false;     // a piece of a compacted log; after 0: all that is here goes first
   std::uint64_t session = 0;  // of anew: each is begun once, so that a late double throws nothing away
   bool proves = false;   // doubted no more
+  bool spoilt = false;   // found to be old: it is to mark that before it takes anything
   Offset cleaned = 0, forgotten = 0;  // gaps up to the first are compacted; the second is known of the record
   Offset passed = 0;     // the least position of living subscribers
   std::vector<Entry> entries;
--- a/src/record/keepers_wire.cpp
+++ b/src/record/keepers_wire.cpp
@@ -61,7 +61,7 @@
 void fill(wire::Message& out, const Tail& m) {
   auto* w = out.mutable_tail();
   w->set_token(m.token), w->set_store(m.store), w->set_starts(m.starts), w->set_round(m.round), w->set_life(m.life);
-  w->set_doubted(m.doubted), w->set_last(m.last), w->set_committed(m.committed), w->set_first(m.first), w->set_cleaned(m.cleaned);
+  w->set_doubted(m.doubted), w->set_unproved(m.unproved), w->set_last(m.last), w->set_committed(m.committed), w->set_first(m.first), w->set_cleaned(m.cleaned);
   w->set_forgotten(m.forgotten), w->set_last_token(m.lastToken), w->set_spoilt(m.spoilt);
   putHeld(w->mutable_seen(), m.seen);
   for (Offset o : m.holes) w->add_holes(o);
@@ -69,7 +69,7 @@
 void fill(wire::Message& out, const Append& m) {
   auto* w = out.mutable_append();
   w->set_token(m.token), w->set_life(m.life), w->set_after(m.after), w->set_after_token(m.afterToken), w->set_committed(m.committed);
-  w->set_anew(m.anew), w->set_proves(m.proves), w->set_cleaned(m.cleaned), w->set_forgotten(m.forgotten), w->set_passed(m.passed), w->set_session(m.session);
+  w->set_anew(m.anew), w->set_proves(m.proves), w->set_cleaned(m.cleaned), w->set_forgotten(m.forgotten), w->set_passed(m.passed), w->set_session(m.session), w->set_spoilt(m.spoilt);
   putEntries(w->mutable_entries(), m.entries);
   putHeld(w->mutable_held(), m.held);
   if (m.plan.upTo != 0) putPlan(w->mutable_plan(), m.plan);
@@ -109,7 +109,7 @@
     case wire::Message::kTail: {
       const auto& w = in.tail();
       Tail m;
-      m.token = w.token(), m.store = w.store(), m.starts = w.starts(), m.round = w.round(), m.life = w.life(), m.doubted = w.doubted();
+      m.token = w.token(), m.store = w.store(), m.starts = w.starts(), m.round = w.round(), m.life = w.life(), m.doubted = w.doubted(), m.unproved = w.unproved();
       m.last = w.last(), m.committed = w.committed(), m.first = w.first(), m.cleaned = w.cleaned(), m.forgotten = w.forgotten();
       m.lastToken = w.last_token(), m.spoilt = w.spoilt();
       if (!getHeld(w.seen(), m.seen) || !getOffsets(w.holes(), m.holes)) return std::nullopt;
@@ -119,7 +119,7 @@
       const auto& w = in.append();
       Append m;
       m.token = w.token(), m.life = w.life(), m.after = w.after(), m.afterToken = w.after_token(), m.committed = w.committed();
-      m.anew = w.anew(), m.proves = w.proves(), m.cleaned = w.cleaned(), m.forgotten = w.forgotten(), m.passed = w.passed(), m.session = w.session();
+      m.anew = w.anew(), m.proves = w.proves(), m.cleaned = w.cleaned(), m.forgotten = w.forgotten(), m.passed = w.passed(), m.session = w.session(), m.spoilt = w.spoilt();
       if (w.has_plan()) m.plan = getPlan(w.plan());
       if (!getEntries(w.entries(), m.entries) || !getHeld(w.held(), m.held)) return std::nullopt;
       if (!m.entries.empty() && m.entries.front().offset <= m.after) return std::nullopt;
--- a/src/record/writer.cpp
+++ b/src/record/writer.cpp
@@ -17,6 +17,7 @@
 struct Peer {
   bool known = false;    // its life has answered our Seek
   bool cleared = false;  // not doubted, or proved by us
+  bool spoilt = false;    // found to be old, and not brought up yet
   bool holed = false, partial = false, full = false;
   bool probing = true;   // what it has in common is being looked for: one message at a time
   std::uint64_t life = 0;
@@ -92,7 +93,12 @@
     return n;
   }
   bool spoilt(Id id, const Tail& t, bool someHold) const {
-    if (t.spoilt || (someHold && t.last == 0)) return true;
+    if (t.spoilt) return true;
+    if (tails.size() == keepers.size()) return false;  // a majority of all is whole, and has the best tail
+    if (someHold && (t.last == 0 || t.unproved)) return true;
+    return old(id, t);
+  }
+  bool old(Id id, const Tail& t) const {
     for (const auto& [other, o] : tails)
       for (auto [who, upTo] : o.seen)
         if (who == id && upTo > reach(id, t)) return true;
@@ -105,7 +111,8 @@
     for (const auto& [id, t] : tails) {
       someHold = someHold || t.last != 0 || t.committed != 0;
       least = std::max(least, t.committed);
-      for (auto [who, upTo] : t.seen) someHold = someHold || upTo != 0, least = std::max(least, upTo);
+      for (auto [who, upTo] : t.seen)
+        if (peers.count(who)) someHold = someHold || upTo != 0, least = std::max(least, upTo);
     }
     if (!someHold && tails.size() < keepers.size()) return std::nullopt;  // one that is silent may hold everything
     std::vector<Id> ok;
@@ -184,13 +191,17 @@
   // a late owner takes acknowledged offsets again, with the help of a keeper that lost its disk.
   bool suspicious(Id id, const Tail& t) const {
     auto w = witnessed.find(id);
-    return t.doubted && (terms.doubtRestarts || t.starts <= 1 || t.last == 0 || t.spoilt || (w != witnessed.end() && reach(id, t) < w->second));
+    return t.doubted && (terms.doubtRestarts || t.unproved || t.last == 0 || t.spoilt || (w != witnessed.end() && reach(id, t) < w->second));
+  }
+  bool found(Id id, const Tail& t) const {
+    auto w = witnessed.find(id);
+    return t.spoilt || old(id, t) || (w != witnessed.end() && reach(id, t) < w->second);
   }
   // A life of a keeper is met: what it has in common with us is not known yet.
   void meet(Id id, const Tail& t) {
     Peer& p = peers.at(id);
     for (auto [who, upTo] : t.seen) witnessed[who] = std::max(witnessed[who], upTo);
-    p = Peer{.known = true, .cleared = !suspicious(id, t), .holed = !t.holes.empty(), .partial = partial(t), .life = t.life,
+    p = Peer{.known = true, .cleared = !suspicious(id, t), .spoilt = found(id, t), .holed = !t.holes.empty(), .partial = partial(t), .life = t.life,
              .next = std::min(t.last, last()) + 1, .last = t.last};
   }
 
@@ -203,7 +214,7 @@
   Append frame(const Peer& p, Offset after, Token afterToken) const {
     Append a;
     a.token = token, a.life = p.life, a.after = after, a.afterToken = afterToken, a.committed = committed;
-    a.proves = phase == Phase::serving && p.cleared, a.cleaned = cleaned, a.forgotten = forgotten, a.passed = least;
+    a.proves = phase == Phase::serving && p.cleared && p.match >= committed, a.spoilt = p.spoilt, a.cleaned = cleaned, a.forgotten = forgotten, a.passed = least;
     return a;
   }
   // Sends what is next, or looks for what is common; with nothing to send, nothing.
@@ -256,7 +267,7 @@
     if (f.entries.empty() || f.entries.back().offset > committed) return;
     cleaned = std::max(cleaned, f.cleaned), forgotten = std::max(forgotten, f.forgotten);
     bool inSession = p.session != 0 && p.sessionForgotten == f.forgotten;
-    if (f.after < f.forgotten && !(inSession && f.after != 0)) {
+    if ((f.after < f.forgotten || (p.partial && f.after == 0)) && !(inSession && f.after != 0)) {
       // It has not heard of tombstones that are gone: only anew. It forgets what it has, which must not be missed then.
       std::size_t others = 0;
       for (const auto& [o, q] : peers) others += o != id && counts(q) && q.match >= f.cleaned ? 1 : 0;
@@ -315,15 +326,16 @@
       return send(from, Seek{token, round});
     }
     if (k.life != p.life || k.token != token) return;
-    p.last = k.last, p.full = k.full;
+    p.last = k.last, p.full = k.full, p.partial = k.partial;
     if (k.refused) {
       bool nearer = k.hint + 1 < p.next;
       p.next = std::max(p.match, std::min(k.hint, last())) + 1, p.probing = true;
       if (nearer && !k.full) pump(now, from, send);
       return;
     }
-    p.holed = !k.holes.empty(), p.partial = k.partial;
+    p.holed = !k.holes.empty();
     p.match = std::max(p.match, std::min(k.upTo, last()));
+    if (phase == Phase::serving && counts(p) && p.match >= committed) p.spoilt = false;
     if (!k.full) p.probing = false;
     p.next = k.full ? p.match + 1 : std::max(p.next, p.match + 1);
     if (k.plan.upTo != 0 && phase == Phase::serving && !p.holed && !p.partial) suggest(k.plan);
@@ -461,8 +473,8 @@
   add(in.token, static_cast<int>(in.phase), in.round, in.roundOpen, in.best, in.bestLast, in.base, in.committed, in.baseToken, in.cleaned,
       in.forgotten, in.plan.upTo, in.sessions, in.foundedAnew);
   for (const auto& [id, p] : in.peers)
-    add(id, p.known, p.cleared, p.holed, p.partial, p.full, p.probing, p.life, p.match, p.next, p.last, p.fetching, p.fetchAfter, p.session);
-  for (const auto& [id, t] : in.tails) add(id, t.life, t.last, t.lastToken, t.committed, t.doubted, t.spoilt, t.seen.size());
+    add(id, p.known, p.cleared, p.spoilt, p.holed, p.partial, p.full, p.probing, p.life, p.match, p.next, p.last, p.fetching, p.fetchAfter, p.session);
+  for (const auto& [id, t] : in.tails) add(id, t.life, t.last, t.lastToken, t.committed, t.doubted, t.unproved, t.spoilt, t.seen.size());
   for (const Entry& e : in.window) add(e.offset, e.token, digest(e));
   for (const auto& u : in.under) add(u.first, u.last);
   return s;
--- a/src/rig/recordsim.cpp
+++ b/src/rig/recordsim.cpp
@@ -1,6 +1,8 @@
 #include "rig/recordsim.hpp"
 
 #include <algorithm>
+#include <cstdio>
+#include <cstdlib>
 #include <random>
 
 #include "record/memory_disk.hpp"
@@ -152,6 +154,7 @@
       return false;
     }
     f.life = ++lives_;
+    trace(f, "starts");
     f.keeper = std::make_unique<Keeper>(f.id, ids_, terms_.keeper, *f.log, f.life);
     f.server = std::make_unique<Server>(*f.log, subscriberTerms_, now_);
     f.up = true;
@@ -170,6 +173,7 @@
     f.writer = std::make_unique<Writer>(f.id, ids_, terms_.keeper, logTerms_, ++token_, now_);
     f.writerSince = now_, f.leases.clear(), f.stopsAt = 1e300;
     ++out_.owners, wasFounded_ = false;
+    trace(f, ("owner " + std::to_string(token_)).c_str());
   }
 
   // ---- what is watched
@@ -188,7 +192,7 @@
     f.told = std::max(f.told, h.committed);
     if (f.damaged && f.keeper && !f.keeper->failed() && h.committed >= f.owes && f.log->whole() && f.log->holes(1).empty() &&
         !f.keeper->doubted())
-      f.damaged = false;
+      f.damaged = false, trace(f, "mended");
   }
   void deliver(const Packet& p) {
     if (p.to >= subscriberIds) {
@@ -215,6 +219,7 @@
     }
     auto m = decode(p.bytes);
     if (!m) return judge_.find("a message is not read back");
+    if (auto* fetched = std::get_if<Fetched>(&*m)) judge_.mayClean(f.id, ~Token{0}, fetched->cleaned, 0);  // a hole may be closed by it
     auto* append = std::get_if<Append>(&*m);
     std::uint64_t calls = f.disk->calls();
     if (append && append->life == f.life) {
@@ -224,7 +229,10 @@
     f.keeper->receive(now_, p.from, *m, sender(f.id));
     if (append && f.disk->calls() != calls) judge_.landed(f.id, append->token);
     watch(f);
-    if (f.writer) f.writer->receive(now_, p.from, *m, sender(f.id));
+    if (!f.writer) return;
+    Phase was = f.writer->phase();
+    f.writer->receive(now_, p.from, *m, sender(f.id));
+    if (was != f.writer->phase()) trace(f, (std::string(word(f.writer->phase())) + " " + std::to_string(f.writer->token())).c_str());
   }
   Subscriber::Out out(Follower& s) {
     return {[this, &s](Id keeper, const Want& w) { post(static_cast<Id>(s.id), keeper, 1, encode(Saying{w})); },
@@ -260,7 +268,9 @@
       if (f.writer && now_ >= f.stopsAt) f.writer->stop(), f.writer.reset();
       if (f.writer) {
         tellPassed(f);
+        Phase was = f.writer->phase();
         f.writer->tick(now_, sender(f.id));
+        if (was != f.writer->phase()) trace(f, word(f.writer->phase()));
         if (f.writer->founded() && f.writer->phase() == Phase::serving && !wasFounded_) ++out_.founded, wasFounded_ = true;
       }
       if (static_cast<long>(now_) % 500 == 0)
@@ -327,6 +337,16 @@
     else if (!faults) ++finalPuts_;
   }
 
+  void trace(const Front& f, const char* what) {
+    if (!std::getenv("RECORD_TRACE")) return;
+    auto c = f.disk->copy();
+    std::printf("%8.0f front %u %s: disk last %llu", now_, f.id, what, c.entries.empty() ? 0ull : static_cast<unsigned long long>(c.entries.rbegin()->first));
+    if (c.head) {
+      std::printf(" committed %llu promised %llu cleaned %llu forgotten %llu seen", static_cast<unsigned long long>(c.head->committed), static_cast<unsigned long long>(c.head->promised), static_cast<unsigned long long>(c.head->cleaned), static_cast<unsigned long long>(c.head->forgotten));
+      for (auto [who, at] : c.head->seen) std::printf(" %u:%llu", who, static_cast<unsigned long long>(at));
+    }
+    std::printf(" acked %llu\n", static_cast<unsigned long long>(judge_.acknowledgedUpTo()));
+  }
   void damage(Front& f) { f.damaged = true, f.owes = judge_.acknowledgedUpTo(), ++out_.damages; }
   bool mayDamage(const Front& f) const {
     std::size_t n = 1;
@@ -363,7 +383,7 @@
       case 3:  // without its store
         if (f.up && mayDamage(f)) {
           ++out_.kills, stop(f), damage(f);
-          f.disk->putBack({}), f.copies.clear(), f.startAt = now_ + between(50, 3000);
+          trace(f, "wiped"), f.disk->putBack({}), f.copies.clear(), f.startAt = now_ + between(50, 3000);
         }
         break;
       case 4:
@@ -371,7 +391,7 @@
           auto copy = f.copies[pick(f.copies.size())].second;
           if (!terms_.keeper.doubtRestarts && !witnessed(f, copy)) break;
           ++out_.kills, stop(f), damage(f);
-          f.disk->putBack(copy), f.startAt = now_ + between(50, 1000);
+          trace(f, "old"), f.disk->putBack(copy), trace(f, "to"), f.startAt = now_ + between(50, 1000);
         }
         break;
       case 5: {
@@ -387,6 +407,7 @@
         if (f.up && mayDamage(f) && f.log->size() > 0) {
           auto copy = f.disk->copy();
           ++out_.kills, stop(f), damage(f);
+          trace(f, "flipped");
           auto i = copy.entries.begin();
           std::advance(i, static_cast<long>(pick(copy.entries.size())));
           if (odds(0.8)) f.disk->flip(i->first);
