--- a/src/record/writer.cpp
+++ b/src/record/writer.cpp
@@ -139,7 +139,7 @@
       if (terms.breakLongest) return a.last != b.last ? a.last > b.last : a.lastToken > b.lastToken;
       return a.lastToken != b.lastToken ? a.lastToken > b.lastToken : a.last > b.last;
     };
-    best = ok->front();
+    best = ok->empty() ? self : ok->front();
     for (Id id : *ok)
       if (!partial(tails.at(id)) && (partial(tails.at(best)) || better(tails.at(id), tails.at(best)))) best = id;
     if (terms.breakOwnDisk && tails.count(self)) best = self;
--- a/src/rig/recordsim.cpp
+++ b/src/rig/recordsim.cpp
@@ -50,9 +50,9 @@
 class Sim {
  public:
   Sim(std::uint64_t seed, const RecordTerms& terms) : terms_(terms), chance_(seed * 2654435761u + 17) {
-    logTerms_.mostBytes = 1 << 20, logTerms_.lag = 1500, logTerms_.tombstoneTerm = 3000, logTerms_.deadShare = 0.2, logTerms_.entriesAStep = 8;
+    logTerms_.mostBytes = 1 << 20, logTerms_.lag = 400, logTerms_.tombstoneTerm = 600, logTerms_.deadShare = 0.2, logTerms_.entriesAStep = 8;
     logTerms_.breaks.tombstoneEarly = terms.tombstoneEarly, logTerms_.breaks.resumedForgotten = terms.resumesForgotten;
-    subscriberTerms_.lease = 2500, subscriberTerms_.pieceBytes = 400;
+    subscriberTerms_.lease = 1200, subscriberTerms_.pieceBytes = 400;
     subscriberTerms_.breaks.resumedForgotten = terms.resumesForgotten;
     terms_.keeper.pieceBytes = 300, terms_.keeper.mostWindow = 4000;
     for (std::size_t i = 0; i < terms.keepers; ++i) ids_.push_back(static_cast<Id>(i + 1));
@@ -378,7 +378,7 @@
       case 0: f.pausedUntil = now_ + between(100, 4000); break;
       case 1:
       case 2:
-        if (f.up) ++out_.kills, stop(f), f.startAt = now_ + between(50, 3000);
+        if (f.up) ++out_.kills, stop(f), f.startAt = now_ + (odds(0.2) ? between(3000, 9000) : between(50, 3000));
         break;
       case 3:  // without its store
         if (f.up && mayDamage(f)) {
--- a/tests/keepers_test.cpp
+++ b/tests/keepers_test.cpp
@@ -1,15 +1,141 @@
+// The record's replication: exploration on small bounds; seeded schedules of faults; variants broken on purpose, each of which is
+// to be caught; messages. `keepers_test N [first]`: N seeds by hand. `keepers_test explore N`: exploration up to N states a part.
 #define DOCTEST_CONFIG_IMPLEMENT
 #include <doctest/doctest.h>
 
 #include <cstdio>
 #include <cstdlib>
+#include <cstring>
+#include <functional>
+#include <random>
 
+#include "keepers_explore.hpp"
 #include "rig/recordsim.hpp"
 
 using namespace dunlinwick;
+using namespace dunlinwick::record;
+
+namespace {
+
+#if defined(__SANITIZE_ADDRESS__)
+constexpr std::size_t mostStates = 4000;
+#else
+constexpr std::size_t mostStates = 40000;
+#endif
+
+struct Part {
+  const char* name;
+  ExploreTerms terms;
+};
+std::vector<Part> parts(std::size_t most) {
+  ExploreTerms plain{.puts = 2, .most = most}, again = plain, crash = plain, old = plain, doubted = plain;
+  again.puts = 3, again.ticks = 1;
+  crash.crash = true;
+  doubted.oldCopy = doubted.doubt = true;
+  old.crash = old.oldCopy = old.doubt = true, old.ticks = 1;
+  return {{"two writers", plain}, {"and retransmission", again}, {"a crash", crash}, {"an old disk, restarts doubted", doubted}, {"an old disk and a crash", old}};
+}
+bool exploreAll(std::size_t most) {
+  bool well = true;
+  for (const Part& p : parts(most)) {
+    Explored e = explore(p.terms);
+    std::printf("explored, %s: %zu states%s, something acknowledged in %zu%s%s\n", p.name, e.states, e.whole ? ", all" : " (bounded)", e.acknowledged,
+                e.found.empty() ? "" : ": ", e.found.c_str());
+    well = well && e.found.empty() && e.acknowledged > 0;
+  }
+  return well;
+}
+
+std::string caught(const char* name, std::size_t most, const std::function<void(rig::RecordTerms&)>& breaks) {
+  for (std::uint64_t seed = 1; seed <= most; ++seed) {
+    auto t = rig::drawn(seed);
+    breaks(t);
+    auto r = rig::run(seed, t);
+    for (const std::string& f : r.findings)
+      if (f.rfind("does not come", 0) != 0) {
+        std::printf("broken, %s: seed %llu: %s\n", name, static_cast<unsigned long long>(seed), f.substr(0, 150).c_str());
+        return f;
+      }
+  }
+  return "";
+}
+
+}  // namespace
+
+TEST_CASE("small bounds, explored") { CHECK(exploreAll(mostStates)); }
+
+TEST_CASE("the exploration sees what is broken") {
+  ExploreTerms t{.puts = 2, .most = 400000};
+  t.firstMajority = true;
+  CHECK(explore(t).found != "");
+}
+
+TEST_CASE("400 seeds") {
+  std::size_t acknowledged = 0, cleanings = 0, anew = 0, damages = 0, startOvers = 0, kills = 0;
+  for (std::uint64_t seed = 1; seed <= 400; ++seed) {
+    auto r = rig::run(seed, rig::drawn(seed));
+    INFO("seed " << seed << ": " << r.text());
+    CHECK(r.findings.empty());
+    acknowledged += r.acknowledged, cleanings += r.cleanings, anew += r.anew, damages += r.damages, startOvers += r.startOvers, kills += r.kills;
+  }
+  std::printf("400 seeds: acknowledged %zu, cleanings %zu, keepers begun anew %zu, damaged disks %zu, kills %zu, subscribers starting over %zu\n",
+              acknowledged, cleanings, anew, damages, kills, startOvers);
+  // The schedules reach what they are for.
+  CHECK(acknowledged > 10000);
+  CHECK(cleanings > 1000);
+  CHECK(anew > 5);
+  CHECK(damages > 400);
+  CHECK(startOvers > 10);
+}
+
+TEST_CASE("broken variants are caught") {
+  CHECK(caught("offset reused", 60, [](auto& t) { t.keeper.breakReuse = true; }) != "");
+  CHECK(caught("own disk believed", 200, [](auto& t) { t.keeper.breakOwnDisk = true; }) != "");
+  CHECK(caught("stale compactor not fenced", 400, [](auto& t) { t.keeper.breakFence = true; }) != "");
+  CHECK(caught("acknowledged before a majority", 200, [](auto& t) { t.keeper.breakMajority = true; }) != "");
+  CHECK(caught("tail by length", 400, [](auto& t) { t.keeper.breakLongest = true; }) != "");
+  CHECK(caught("tombstone dropped early", 200, [](auto& t) { t.tombstoneEarly = true; }) != "");
+  CHECK(caught("rejoin after long absence resumed", 200, [](auto& t) { t.resumesForgotten = true; }) != "");
+  CHECK(caught("all written anew", 1500, [](auto& t) { t.keeper.breakRewrite = true; }) != "");
+}
+
+TEST_CASE("messages are read back, and nothing else is") {
+  Tail t{.token = 7, .store = 9, .starts = 3, .round = 2, .life = 1ull << 63, .doubted = true, .unproved = true, .last = 12, .committed = 11,
+         .first = 2, .cleaned = 5, .forgotten = 4, .lastToken = 6, .seen = {{0, 1}, {2, 8}}, .spoilt = true, .holes = {3, 4}};
+  Append a;
+  a.token = 4, a.life = 8, a.after = 3, a.afterToken = 2, a.committed = 3, a.anew = true, a.session = 5, a.proves = true, a.spoilt = true;
+  a.cleaned = 2, a.forgotten = 1, a.passed = 3, a.held = {{1, 3}}, a.plan = {4, 2, 1};
+  a.entries = {{4, 2, Stream::terms, std::string("k\0y", 3), false, std::string(60000, 'v'), 1.5}, {5, 2, Stream::rules, "x", true, "", 0}};
+  Kept k;
+  k.token = 4, k.life = 8, k.upTo = 5, k.refused = k.full = k.unsought = k.partial = true, k.last = 9, k.hint = 2, k.holes = {1}, k.plan = {1, 2, 1};
+  Fetched f{.after = 1, .upTo = 5, .afterToken = 2, .committed = 6, .cleaned = 4, .forgotten = 3, .entries = a.entries};
+  for (const Message& m : {Message{Seek{3, 4}}, Message{t}, Message{a}, Message{k}, Message{Fetch{1, 2, {3}}}, Message{f}}) {
+    std::string bytes = encode(m);
+    auto back = decode(bytes);
+    REQUIRE(back);
+    CHECK(back->index() == m.index());
+    CHECK(encode(*back) == bytes);
+  }
+  a.entries[0].key = "";
+  CHECK(!decode(encode(Message{a})));
+  a.entries[0].key = std::string(201, 'k');
+  CHECK(!decode(encode(Message{a})));
+  a.entries[0].key = "k", a.entries[0].offset = 3;
+  CHECK(!decode(encode(Message{a})));
+  a.entries[0].offset = 6;
+  CHECK(!decode(encode(Message{a})));
+  CHECK(!decode({}));
+  std::knuth_b chance(5);
+  std::string whole = encode(Message{t});
+  for (int i = 0; i < 20000; ++i) {  // garbled: read as something in bounds, or not at all
+    std::string bad = whole;
+    for (int n = 0; n < 3; ++n) bad[chance() % bad.size()] = static_cast<char>(chance());
+    if (auto m = decode(bad)) CHECK(decode(encode(*m)));
+  }
+}
 
-// keepers_test N [first]: N seeds by hand.
 int main(int count, char** words) {
+  if (count > 2 && std::strcmp(words[1], "explore") == 0) return exploreAll(std::strtoull(words[2], nullptr, 10)) ? 0 : 1;
   if (count > 1 && std::atoi(words[1]) > 0) {
     int bad = 0;
     std::uint64_t n = std::strtoull(words[1], nullptr, 10), first = count > 2 ? std::strtoull(words[2], nullptr, 10) : 1;
