--- a/src/record/keeper.cpp
+++ b/src/record/keeper.cpp
@@ -17,7 +17,7 @@
   KeeperTerms terms;
   Log& log;
   std::uint64_t life;
-  bool failed = false, doubted = true;
+  bool failed = false, doubted = true, stranded = false;
   Ms unixNow = 0, asked = -1e300;
   std::size_t turn = 0;
   std::pair<Token, std::uint64_t> begun{0, 0};  // the last session anew
@@ -107,6 +107,8 @@
       return send(from, k);
     }
     bool known = (!partial() && m.after <= h.committed) || m.after == 0 || (m.afterToken != 0 && log.tokenAt(m.after) == m.afterToken);
+    // The session goes on where it was, though the source may have compacted that very entry.
+    known = known || (m.anew && partial() && begun == std::pair(m.token, m.session) && m.after == log.last());
     Offset upTo = 0;
     try {
       if (m.spoilt) mark(false);
@@ -115,9 +117,10 @@
       } else {
         // Of a log begun anew nothing is served below where its source was compacted: keys would be missing.
         bool whole = !partial() || upTo >= m.cleaned;
+        // What the source had forgotten is forgotten here too, before anything is served: told too low, it brings the dead back to life
+        // at a subscriber. But only here: it is also by this that a writer sees whether a source has forgotten meanwhile.
+        if (m.anew && whole && upTo >= m.forgotten && h.forgotten < m.forgotten) log.append(0, {}, {0, m.forgotten});
         if (whole) log.commit(std::min(m.committed, upTo));
-        // Told too high it makes a subscriber begin anew in vain; too low, it brings the dead back to life.
-        if (whole && upTo >= m.forgotten && h.forgotten < m.forgotten) log.append(0, {}, {0, m.forgotten});
         if (m.plan.upTo != 0 && m.plan.token == m.token) log.take(m.plan);
         k.upTo = upTo;
         k.holes = log.holes(holesATime), k.partial = partial();
@@ -134,7 +137,8 @@
       k.full = true, k.upTo = known ? std::min(m.after, log.last()) : 0, k.refused = !known, k.hint = known ? 0 : hint(m.after);
       k.holes = log.holes(holesATime), k.partial = partial();
     }
-    k.last = log.last();
+    if (log.holes(1).empty()) stranded = false;
+    k.last = log.last(), k.stranded = stranded;
     send(from, k);
   }
 
@@ -173,7 +177,10 @@
       if (o > m.upTo || o > sure) break;
       auto e = std::find_if(m.entries.begin(), m.entries.end(), [&](const Entry& one) { return one.offset == o; });
       if (e != m.entries.end()) log.heal(*e);
-      else if (o <= m.cleaned) log.close(o);
+      // Not there, and nothing so high is forgotten there: superseded. Else it may have been a tombstone that hides what is here
+      // still: closing it would bring the dead back to life.
+      else if (o <= m.cleaned && o > m.forgotten) log.close(o);
+      else if (o <= m.forgotten) stranded = true;
     }
   }
 
--- a/src/record/keepers.hpp
+++ b/src/record/keepers.hpp
@@ -92,6 +92,7 @@
   bool refused = false, full = false;
   bool unsought = false;  // of a life that this writer has not heard of
   bool partial = false;   // being brought up anew
+  bool stranded = false;  // a hole that others may have forgotten: it is to be brought up anew
   Offset last = 0, hint = 0;  // its tail; of refused: from where on to try
   std::vector<Offset> holes;
   Plan plan;  // what it finds worth cleaning
--- a/src/record/keepers_wire.cpp
+++ b/src/record/keepers_wire.cpp
@@ -77,7 +77,7 @@
 void fill(wire::Message& out, const Kept& m) {
   auto* w = out.mutable_kept();
   w->set_token(m.token), w->set_life(m.life), w->set_up_to(m.upTo), w->set_refused(m.refused), w->set_full(m.full);
-  w->set_unsought(m.unsought), w->set_partial(m.partial), w->set_last(m.last), w->set_hint(m.hint);
+  w->set_unsought(m.unsought), w->set_stranded(m.stranded), w->set_partial(m.partial), w->set_last(m.last), w->set_hint(m.hint);
   for (Offset o : m.holes) w->add_holes(o);
   if (m.plan.upTo != 0) putPlan(w->mutable_plan(), m.plan);
 }
@@ -129,7 +129,7 @@
       const auto& w = in.kept();
       Kept m;
       m.token = w.token(), m.life = w.life(), m.upTo = w.up_to(), m.refused = w.refused(), m.full = w.full(), m.unsought = w.unsought();
-      m.partial = w.partial(), m.last = w.last(), m.hint = w.hint();
+      m.partial = w.partial(), m.stranded = w.stranded(), m.last = w.last(), m.hint = w.hint();
       if (w.has_plan()) m.plan = getPlan(w.plan());
       if (!getOffsets(w.holes(), m.holes)) return std::nullopt;
       return m;
--- a/src/record/writer.cpp
+++ b/src/record/writer.cpp
@@ -18,7 +18,7 @@
   bool known = false;    // its life has answered our Seek
   bool cleared = false;  // not doubted, or proved by us
   bool spoilt = false;    // found to be old, and not brought up yet
-  bool holed = false, partial = false, full = false;
+  bool holed = false, stranded = false, partial = false, full = false;
   bool probing = true;   // what it has in common is being looked for: one message at a time
   std::uint64_t life = 0;
   Offset match = 0, next = 1, last = 0;
@@ -28,7 +28,8 @@
   Offset fetchAfter = 0;
   Ms fetched = -1e300;
   std::uint64_t session = 0;  // anew; 0: none
-  Offset sessionForgotten = 0;
+  Offset sessionForgotten = 0;  // by its one source, all along: pieces of logs that have forgotten and of such that have not do
+  Id sessionSource = 0;         // not go together, as a tombstone would be missing between them
 };
 }  // namespace
 
@@ -221,10 +222,12 @@
   void pump(Ms now, Id id, const Send& send, bool beat = false) {
     Peer& p = peers.at(id);
     if (!p.known || phase < Phase::rewriting || phase == Phase::fenced) return;
-    if (p.next <= base) return bringUp(now, id, send);
+    if ((p.partial || p.stranded) && p.session == 0) p.next = 1;
+    if (p.next <= base || ((p.partial || p.stranded) && p.session == 0)) return bringUp(now, id, send);
     p.fetching = false;
     for (std::size_t n = 0;; ++n) {
       Append a = frame(p, p.next - 1, tokenAt(p.next - 1));
+      if (p.session != 0) a.anew = true, a.session = p.session, a.forgotten = p.sessionForgotten;
       std::size_t bytes = 0;
       for (Offset o = p.next; !p.full && o <= last(); ++o) {
         const Entry& e = window[o - base - 1];
@@ -245,39 +248,45 @@
       if (!more || phase == Phase::fenced) return;
     }
   }
-  std::optional<std::pair<Id, Offset>> source(Id notFor) {
+  std::optional<std::pair<Id, Offset>> source(Id notFor, Id only) {
     std::vector<std::pair<Id, Offset>> can;
     for (const auto& [id, p] : peers)
-      if (id != notFor && counts(p) && p.match >= base && p.match != 0) can.emplace_back(id, std::min(p.match, committed));
-    if (can.empty() && best != notFor && best != 0) can.emplace_back(best, std::min(bestLast, committed));
+      if (id != notFor && (only == 0 || id == only) && counts(p) && p.match >= base && p.match != 0) can.emplace_back(id, std::min(p.match, committed));
+    if (can.empty() && best != notFor && best != 0 && (only == 0 || only == best)) can.emplace_back(best, std::min(bestLast, committed));
     if (can.empty()) return std::nullopt;
     return can[sourceTurn++ % can.size()];
   }
   void bringUp(Ms now, Id id, const Send& send) {
     Peer& p = peers.at(id);
     if (p.fetching && now < p.fetched + terms.again) return;
-    auto from = source(id);
+    auto from = source(id, p.session != 0 ? p.sessionSource : 0);
+    if (!from && p.session != 0) p.session = 0, p.next = 1, from = source(id, 0);
     if (!from) return;
     p.fetching = true, p.fetchAfter = p.next - 1, p.fetched = now;
     send(from->first, Fetch{p.fetchAfter, from->second, {}});
   }
-  void relay(Ms now, Id id, const Fetched& f, const Send& send) {
+  void relay(Ms now, Id id, Id from, const Fetched& f, const Send& send) {
     Peer& p = peers.at(id);
     p.fetching = false;
     if (f.entries.empty() || f.entries.back().offset > committed) return;
     cleaned = std::max(cleaned, f.cleaned), forgotten = std::max(forgotten, f.forgotten);
-    bool inSession = p.session != 0 && p.sessionForgotten == f.forgotten;
-    if ((f.after < f.forgotten || (p.partial && f.after == 0)) && !(inSession && f.after != 0)) {
+    bool inSession = p.session != 0 && p.sessionForgotten == f.forgotten && p.sessionSource == from && f.after != 0;
+    if (p.session != 0 && !inSession && f.after != 0) {
+      p.session = 0, p.next = 1;
+      return bringUp(now, id, send);
+    }
+    if ((f.after < f.forgotten || p.partial || p.stranded) && !inSession) {
       // It has not heard of tombstones that are gone: only anew. It forgets what it has, which must not be missed then.
       std::size_t others = 0;
-      for (const auto& [o, q] : peers) others += o != id && counts(q) && q.match >= f.cleaned ? 1 : 0;
-      if (p.last >= f.cleaned && others < majority()) return;
+      for (const auto& [o, q] : peers) others += o != id && counts(q) && q.match >= committed ? 1 : 0;
+      if (p.last >= f.cleaned && (phase != Phase::serving || others < majority())) return;
       p.session = 0;
       if (f.after != 0) {
         p.next = 1;
         return bringUp(now, id, send);
       }
-      p.session = ++sessions, p.sessionForgotten = f.forgotten, p.match = 0;
+      p.stranded = false;
+      p.session = ++sessions, p.sessionForgotten = f.forgotten, p.sessionSource = from, p.match = 0;
     } else if (!inSession) {
       p.session = 0;
     }
@@ -327,6 +336,8 @@
     }
     if (k.life != p.life || k.token != token) return;
     p.last = k.last, p.full = k.full, p.partial = k.partial;
+    if (k.stranded && p.session == 0 && !p.stranded) p.stranded = true, p.match = 0, p.next = 1, p.probing = true;
+    if (p.stranded) return p.fetching ? void() : bringUp(now, from, send);
     if (k.refused) {
       bool nearer = k.hint + 1 < p.next;
       p.next = std::max(p.match, std::min(k.hint, last())) + 1, p.probing = true;
@@ -334,6 +345,7 @@
       return;
     }
     p.holed = !k.holes.empty();
+    if (p.session != 0 && !k.partial && k.upTo >= p.sessionForgotten) p.session = 0;
     p.match = std::max(p.match, std::min(k.upTo, last()));
     if (phase == Phase::serving && counts(p) && p.match >= committed) p.spoilt = false;
     if (!k.full) p.probing = false;
@@ -430,7 +442,7 @@
       if (from == in->best) in->fetchedTail(now, *f, send);
     } else if (in->phase > Phase::fetching) {
       for (auto& [id, p] : in->peers)
-        if (p.known && p.fetching && p.fetchAfter == f->after && id != from) in->relay(now, id, *f, send);
+        if (p.known && p.fetching && p.fetchAfter == f->after && id != from) in->relay(now, id, from, *f, send);
     }
   }
 }
--- a/src/rig/recordsim.cpp
+++ b/src/rig/recordsim.cpp
@@ -221,6 +221,11 @@
     if (!m) return judge_.find("a message is not read back");
     if (auto* fetched = std::get_if<Fetched>(&*m)) judge_.mayClean(f.id, ~Token{0}, fetched->cleaned, 0);  // a hole may be closed by it
     auto* append = std::get_if<Append>(&*m);
+    if (std::getenv("RECORD_TRACE") && std::getenv("RECORD_TRACE")[0] - '0' == static_cast<int>(f.id) && append) {
+      std::printf("%8.0f  to %u append after %llu@%llu anew %d committed %llu cleaned %llu forgotten %llu:", now_, f.id, static_cast<unsigned long long>(append->after), static_cast<unsigned long long>(append->afterToken), append->anew, static_cast<unsigned long long>(append->committed), static_cast<unsigned long long>(append->cleaned), static_cast<unsigned long long>(append->forgotten));
+      for (auto& e : append->entries) std::printf(" %llu", static_cast<unsigned long long>(e.offset));
+      std::printf("\n");
+    }
     std::uint64_t calls = f.disk->calls();
     if (append && append->life == f.life) {
       if (append->plan.upTo != 0) judge_.mayClean(f.id, append->token, append->plan.upTo, append->plan.forget);
