--- a/src/record/keeper.cpp
+++ b/src/record/keeper.cpp
@@ -78,7 +78,11 @@
       begun = {m.token, m.session};
       return upTo = end, true;
     }
-    auto have = [&](const Entry& e) { return (!partial() && e.offset <= h.committed) || log.tokenAt(e.offset) == e.token; };
+    // Of this very session all is the writer's; and what is committed may have another token elsewhere, but no other content.
+    bool inSession = m.anew && partial() && begun == std::pair(m.token, m.session);
+    auto have = [&](const Entry& e) {
+      return (!partial() && e.offset <= h.committed) || (inSession && e.offset <= log.last()) || log.tokenAt(e.offset) == e.token;
+    };
     std::size_t skip = 0;
     while (skip < m.entries.size() && have(m.entries[skip])) ++skip;
     if (skip < m.entries.size()) {
--- a/src/record/writer.cpp
+++ b/src/record/writer.cpp
@@ -61,6 +61,7 @@
     Done done;
   };
   std::deque<Under> under;
+  bool tombstoneEarly = false;  // broken on purpose
   std::uint64_t sessions = 0;
   std::size_t sourceTurn = 0;
 
@@ -357,7 +358,7 @@
   void suggest(const Plan& p) {
     Offset upTo = std::min(p.upTo, committed == 0 ? 0 : committed - 1);
     plan.token = token, plan.upTo = std::max(plan.upTo, upTo);
-    plan.forget = std::max(plan.forget, std::min({p.forget, least, plan.upTo}));
+    plan.forget = std::max(plan.forget, std::min({p.forget, tombstoneEarly ? plan.upTo : least, plan.upTo}));
   }
   void advance(Ms now, const Send& send) {
     std::vector<Offset> at;
@@ -425,8 +426,10 @@
   }
 };
 
-Writer::Writer(Id self, std::vector<Id> keepers, KeeperTerms terms, LogTerms, Token token, Ms now)
-    : inner_(std::make_shared<Inner>(self, std::move(keepers), terms, token, now)) {}
+Writer::Writer(Id self, std::vector<Id> keepers, KeeperTerms terms, LogTerms logTerms, Token token, Ms now)
+    : inner_(std::make_shared<Inner>(self, std::move(keepers), terms, token, now)) {
+  inner_->tombstoneEarly = logTerms.breaks.tombstoneEarly;
+}
 
 void Writer::tick(Ms now, const Send& send) { inner_->tick(now, send); }
 
