--- a/src/record/keeper.cpp
+++ b/src/record/keeper.cpp
@@ -112,15 +112,16 @@
     }
     bool known = (!partial() && m.after <= h.committed) || m.after == 0 || (m.afterToken != 0 && log.tokenAt(m.after) == m.afterToken);
     // The session goes on where it was, though the source may have compacted that very entry.
-    known = known || (m.anew && partial() && begun == std::pair(m.token, m.session) && m.after == log.last());
+    known = known || (m.anew && begun == std::pair(m.token, m.session) && m.after == log.last());
     Offset upTo = 0;
+    bool wasPartial = partial();
     try {
       if (m.spoilt) mark(false);
       if (!known || !write(m, upTo)) {
         k.refused = true, k.hint = hint(m.after), k.partial = partial();
       } else {
         // Of a log begun anew nothing is served below where its source was compacted: keys would be missing.
-        bool whole = !partial() || upTo >= m.cleaned;
+        bool whole = (!m.anew && !wasPartial) || upTo >= (m.anew ? std::max(m.cleaned, m.forgotten) : m.cleaned);
         // What the source had forgotten is forgotten here too, before anything is served: told too low, it brings the dead back to life
         // at a subscriber. But only here: it is also by this that a writer sees whether a source has forgotten meanwhile.
         if (m.anew && whole && upTo >= m.forgotten && h.forgotten < m.forgotten) log.append(0, {}, {0, m.forgotten});
@@ -164,7 +165,7 @@
           if (bytes += e->key.size() + e->value.size(); !f.entries.empty() && bytes > terms.pieceBytes) break;
           f.entries.push_back(*e);
         }
-        f.upTo = o;
+        f.upTo = o, f.only.push_back(o);
       }
     } else {
       f.after = m.after, f.afterToken = log.tokenAt(m.after).value_or(0);
@@ -178,7 +179,9 @@
     if (m.after != healing || partial()) return;
     Offset sure = std::min(m.committed, log.head().committed);  // above it, only a writer knows what belongs there
     for (Offset o : log.holes(holesATime)) {
-      if (o > m.upTo || o > sure) break;
+      if (o > sure) break;
+      // A late answer to another question must not close what it says nothing of.
+      if (std::find(m.only.begin(), m.only.end(), o) == m.only.end()) continue;
       auto e = std::find_if(m.entries.begin(), m.entries.end(), [&](const Entry& one) { return one.offset == o; });
       if (e != m.entries.end()) log.heal(*e);
       // Not there, and nothing so high is forgotten there: superseded. Else it may have been a tombstone that hides what is here
--- a/src/record/keepers.hpp
+++ b/src/record/keepers.hpp
@@ -106,6 +106,7 @@
   Token afterToken = 0;        // 0: not known
   Offset committed = 0, cleaned = 0, forgotten = 0;
   std::vector<Entry> entries;
+  std::vector<Offset> only;  // of these it tells, where it was asked for some alone
 };
 using Message = std::variant<Seek, Tail, Append, Kept, Fetch, Fetched>;
 std::string encode(const Message& m);
--- a/src/record/keepers_wire.cpp
+++ b/src/record/keepers_wire.cpp
@@ -90,6 +90,7 @@
   auto* w = out.mutable_fetched();
   w->set_after(m.after), w->set_up_to(m.upTo), w->set_after_token(m.afterToken), w->set_committed(m.committed);
   w->set_cleaned(m.cleaned), w->set_forgotten(m.forgotten);
+  for (Offset o : m.only) w->add_only(o);
   putEntries(w->mutable_entries(), m.entries);
 }
 
@@ -144,7 +145,7 @@
       Fetched m;
       m.after = w.after(), m.upTo = w.up_to(), m.afterToken = w.after_token(), m.committed = w.committed();
       m.cleaned = w.cleaned(), m.forgotten = w.forgotten();
-      if (!getEntries(w.entries(), m.entries)) return std::nullopt;
+      if (!getEntries(w.entries(), m.entries) || !getOffsets(w.only(), m.only)) return std::nullopt;
       return m;
     }
     default: return std::nullopt;
