--- a/src/record/keeper.cpp
+++ b/src/record/keeper.cpp
@@ -186,7 +186,7 @@
       if (e != m.entries.end()) log.heal(*e);
       // Not there, and nothing so high is forgotten there: superseded. Else it may have been a tombstone that hides what is here
       // still: closing it would bring the dead back to life.
-      else if (o <= m.cleaned && o > m.forgotten) log.close(o);
+      else if (o <= m.cleaned && o > m.forgotten) log.close(o, {m.cleaned, m.forgotten});
       else if (o <= m.forgotten) stranded = true;
     }
   }
--- a/src/record/log.cpp
+++ b/src/record/log.cpp
@@ -19,8 +19,8 @@
 // What one takes in memory: its node, the key once more in the index, and their bookkeeping.
 std::size_t sizeOf(const Entry& e) { return 256 + 2 * e.key.size() + e.value.size(); }
 bool fits(const Entry& e) {
-  return !e.key.empty() && e.key.size() <= longestKey && e.value.size() <= longestValue && static_cast<std::size_t>(e.stream) < streams &&
-         !(e.tombstone && !e.value.empty()) && std::isfinite(e.at);
+  return !e.key.empty() && e.key.size() <= longestKey && e.value.size() <= longestValue &&
+         static_cast<std::size_t>(e.stream) < streams && !(e.tombstone && !e.value.empty()) && std::isfinite(e.at);
 }
 
 }  // namespace
@@ -120,7 +120,8 @@
   void room(const std::vector<Entry>& entries, std::size_t freed) const {
     std::size_t more = 0;
     for (const Entry& e : entries) more += sizeOf(e);
-    if (bytes - freed + more > terms.mostBytes) throw Full("more than " + std::to_string(terms.mostBytes) + " bytes of record in memory");
+    if (bytes - freed + more > terms.mostBytes)
+      throw Full("more than " + std::to_string(terms.mostBytes) + " bytes of record in memory");
   }
   void place(Head next) { head = std::move(next), changed = false; }
 };
@@ -197,7 +198,9 @@
   Inner& in = *inner_;
   if (from != 0 && (from <= in.head.committed || from <= in.head.cleaned)) return false;
   Offset after = from == 0 ? in.last() : std::min(in.last(), from - 1);
-  if (after != 0 && after < source.forgotten) return false;
+  Offset forgotten = std::max(source.forgotten, in.head.forgotten);
+  bool begins = after == 0 && source.forgotten == forgotten;
+  if (after < forgotten && source.forgotten != in.head.forgotten && !begins) return false;
   if (!in.inRow(after, entries, std::max(source.cleaned, in.head.cleaned))) return false;
   std::size_t freed = 0;
   if (from != 0)
@@ -279,10 +282,11 @@
   in.forgetAges();
   return true;
 }
-bool Log::close(Offset hole) {
+bool Log::close(Offset hole, Source source) {
   Inner& in = *inner_;
   if (in.holes.empty() || *in.holes.begin() != hole || hole > in.head.committed) return false;
-  // What was there is superseded or was let go up to here: told as such, so that the gap is none at the next start either.
+  if (hole > source.cleaned || hole <= source.forgotten) return false;
+  // What was there is superseded: told as such, so that the gap is none at the next start either.
   Head next = in.head;
   next.cleaned = std::max(next.cleaned, hole);
   in.call([&] { in.disk.drop({hole}, next); });
@@ -351,7 +355,7 @@
   std::sort(gone.begin(), gone.end());
   auto i = in.records.begin();
   while (i != in.records.end() && std::binary_search(gone.begin(), gone.end(), i->first)) ++i;
-  next.first = i->first;  // there is one, the last
+  next.first = i == in.records.end() ? last : i->first;  // the last stays, but may be a hole
   if (!in.holes.empty()) next.first = std::min(next.first, *in.holes.begin());
   if (gone.empty() && next == in.head) return in.swept = swept, true;  // after a start: nothing new for the disk
   in.call([&] { in.disk.drop(gone, next); });
--- a/src/record/subscribers.hpp
+++ b/src/record/subscribers.hpp
@@ -4,9 +4,11 @@
 //
 // What it promises: no gap (at each position the subscriber has, of each key, the latest at or below it, or a later one is on its
 // way), no double and no older value after a newer one, whatever is lost, late, doubled, compacted, resumed at another
-// keeper or written meanwhile. Each piece carries a digest and is asked again where it does not fit. One that was away past its lease
-// and is behind `forgotten` is told to start over (its state is void: a recalled object would come back to life), never silently
-// resumed. One too slow for `mostBehind` bytes under way is told so and bounded: it has one piece under way.
+// keeper or written meanwhile. Each piece carries a digest and is asked again where it does not fit. One that was away past its
+// lease and is behind `forgotten` (and began before that was forgotten: Want::clean) is told to start over (its state is void: a
+// recalled object would come back to life), never silently resumed. A slow one has one piece under way, so that nothing piles up
+// for it; what it holds back is tombstones, for as long as its lease runs. A keeper's start forgets its leases: the worst that
+// comes of it is a start-over.
 // Bounds: `mostSubscribers` leases at the writer's front; one piece (pieceBytes) under way a subscriber.
 #pragma once
 #include <functional>
@@ -30,10 +32,13 @@
   std::uint64_t subscriber = 0, life = 0, number = 0;
   Offset after = 0;       // has all up to and with it; 0: begins
   std::uint32_t streams = 7;  // a bit a stream
+  // The least `forgotten` of the keepers it read from since it began: no value that those tombstones hid is in it.
+  Offset clean = 0;
 };
 struct Piece {
   std::uint64_t number = 0;  // of the question
   Offset after = 0, upTo = 0, committed = 0, snapshot = 0;  // snapshot: S, while a join reads up to it
+  Offset forgotten = 0;  // of the keeper, as it answers
   bool startOver = false;
   std::vector<Entry> entries;
   std::uint64_t digest = 0;  // over all of the above
@@ -71,7 +76,8 @@
     std::function<void()> startOver;             // all that was told before is void
   };
   // `at`: resumes from what was kept (0: from nothing).
-  Subscriber(std::uint64_t self, std::uint64_t life, std::vector<Id> keepers, SubscriberTerms terms, Offset at, std::uint64_t seed, Ms now);
+  Subscriber(std::uint64_t self, std::uint64_t life, std::vector<Id> keepers, SubscriberTerms terms, Offset at,
+      std::uint64_t seed, Ms now);
   void tick(Ms now, const Out& out);
   void receive(Ms now, Id from, const Piece& piece, const Out& out);
   Offset position() const;
--- a/src/fleet/script.hpp
+++ b/src/rig/script.hpp
@@ -1,5 +1,5 @@
 // A fleet and what goes wrong in it, on cue: the files that `dunlinctl fleet` reads. One script of faults drives real
-// processes with the relay (src/fleet/harness.hpp) and the staged members (src/fleet/sim.hpp) alike.
+// processes with the relay (src/rig/harness.hpp) and the staged members (src/rig/sim.hpp) alike.
 //
 // JSON with comments; refused whole with file, line, field and reason. Times in the files are seconds.
 #pragma once
@@ -39,6 +39,7 @@
   bool steer = true;
   double pullsPerS = 20;  // asked of each front
   OwnerFile owner;
+  bool peers = false;  // members and owner over one socket a front; members' ids are then those of the owner's fronts, from 1
 };
 // `fronts`: in place of the file's number, 0 for that. Throws schema::Refused.
 FleetFile readFleetFile(const std::string& path, int fronts = 0);
