Record: a lost entry that looks compacted is found by count; bring-up keeps its source

What is missing at or below `cleaned` looks like one superseded: no hole, so the keeper counted, served, and could hand on its log without that key, for ever. Change: the head counts the entries on disk (Head::entries, kept in each of the disk's calls, optional in StoredHead). Fewer at a start: one hole at the lowest gap, neither healed nor closed (Log::lost); nothing is read below `cleaned`, it answers no Fetch, is marked unproved and begun anew from a whole keeper.

--- a/src/record/disk.hpp
+++ b/src/record/disk.hpp
@@ -27,6 +27,7 @@
   Offset first = 1;      // nothing below it was ever here, or all of it was compacted
   Offset cleaned = 0;    // compacted up to here: of each key only the latest at or below it is left
   Offset forgotten = 0;  // the highest tombstone that was let go
+  std::optional<std::uint64_t> entries;  // how many are on disk: fewer at a start are lost, below `cleaned` too (nothing: not counted yet)
   std::vector<std::pair<Id, Offset>> seen;  // by other keeper: the highest offset that it was known to hold (witness)
   bool operator==(const Head&) const = default;
 };
--- a/src/record/keeper.cpp
+++ b/src/record/keeper.cpp
@@ -26,7 +26,9 @@
       : self(s), keepers(std::move(k)), terms(t), log(l), life(n != 0 ? n : l.head().starts) {
     // Entries that may be acknowledged are gone with a hole above what is known committed, and the next append covers it up.
     auto holes = log.holes(SIZE_MAX);
-    if (!holes.empty() && holes.back() > log.head().committed) safely([&] { mark(false); });
+    // And of one lost where it looks compacted, nobody can tell which: only another's log, anew, has it.
+    stranded = log.lost();
+    if (stranded || (!holes.empty() && holes.back() > log.head().committed)) safely([&] { mark(false); });
   }
 
   bool knows(Id id) const { return std::find(keepers.begin(), keepers.end(), id) != keepers.end(); }
@@ -149,7 +151,7 @@
 
   void fetch(Id from, const Fetch& m, const Send& send) {
     const Head& h = log.head();
-    if (partial()) return;
+    if (partial() || log.lost()) return;  // what is not here may be what is lost, not what is superseded
     Fetched f;
     f.committed = h.committed, f.cleaned = h.cleaned, f.forgotten = h.forgotten;
     if (!m.only.empty()) {
--- a/src/record/log.cpp
+++ b/src/record/log.cpp
@@ -29,6 +29,8 @@
   LogTerms terms;
   Disk& disk;
   Head head;
+  bool loses = false;      // an entry at or below `cleaned` is gone: a hole stands for it ...
+  std::uint64_t lost = 0;  // ... and for so many more
   bool failed = false, changed = false;  // changed: the head differs from the disk's (witness)
   std::map<Offset, Record> records;
   std::set<Offset> holes, tombstones;
@@ -61,6 +63,7 @@
     if (!holes.empty()) n = std::max(n, *holes.rbegin());
     return n;
   }
+  std::uint64_t count() const { return records.size() + holes.size() + lost; }
   bool holeUpTo(Offset upTo) const { return !holes.empty() && *holes.begin() <= upTo; }
   void forgetAges() { old = 0, oldBytes = oldDead = 0; }
   void insert(const Entry& e) {
@@ -147,11 +150,21 @@
     else in.holes.insert(offset);
   });
   missing(in.head.committed + 1);  // what was known to be here must be
+  // An entry lost at or below `cleaned` looks like one compacted: served and handed on as whole, its key would be missing for ever.
+  // The lowest gap is a hole for the first of them.
+  if (auto n = in.count(), told = in.head.entries.value_or(0); n < told) {
+    Offset gap = 1;
+    while (gap <= in.head.cleaned && (in.records.count(gap) != 0 || in.holes.count(gap) != 0)) ++gap;
+    if (gap <= in.head.cleaned) in.loses = true, in.holes.insert(gap), in.lost = told - n - 1;
+    else missing(before + 1 + (told - n));  // the last it had
+  }
+  in.head.entries = in.count();
   in.call([&] { disk.write(in.head); });
 }
 Log::~Log() = default;
 
 const Head& Log::head() const { return inner_->head; }
+bool Log::lost() const { return inner_->loses; }
 bool Log::failed() const { return inner_->failed; }
 Offset Log::last() const { return inner_->last(); }
 Token Log::lastToken() const { return tokenAt(last()).value_or(0); }
@@ -180,6 +193,7 @@
   std::vector<Entry> out;
   Offset end = std::min(upTo, in.last());
   if (auto h = in.holes.upper_bound(after); h != in.holes.end() && *h <= end) end = *h - 1;
+  if (in.loses && after < in.head.cleaned) end = after;  // it may be any up to there
   std::size_t used = 0;
   for (auto i = in.records.upper_bound(after); i != in.records.end() && i->first <= end; ++i) {
     std::size_t size = i->second.entry.key.size() + i->second.entry.value.size() + 40;
@@ -203,11 +217,15 @@
   if (after < forgotten && source.forgotten != in.head.forgotten && !begins) return false;
   if (!in.inRow(after, entries, std::max(source.cleaned, in.head.cleaned))) return false;
   std::size_t freed = 0;
-  if (from != 0)
-    for (auto i = in.records.lower_bound(from); i != in.records.end(); ++i) freed += sizeOf(i->second.entry);
+  std::uint64_t fewer = 0;
+  if (from != 0) {
+    for (auto i = in.records.lower_bound(from); i != in.records.end(); ++i) freed += sizeOf(i->second.entry), ++fewer;
+    fewer += static_cast<std::uint64_t>(std::distance(in.holes.lower_bound(from), in.holes.end()));
+  }
   if (!entries.empty()) in.room(entries, freed);
   Head next = in.head;
   next.cleaned = std::max(next.cleaned, source.cleaned), next.forgotten = std::max(next.forgotten, source.forgotten);
+  next.entries = in.count() - fewer + entries.size();
   in.call([&] { in.disk.append(from, entries, next); });
   if (from != 0) {
     while (!in.records.empty() && in.records.rbegin()->first >= from) in.erase(in.records.rbegin()->first);
@@ -224,10 +242,11 @@
   in.room(entries, in.bytes);
   Head next = in.head;
   next.committed = 0, next.first = 1, next.cleaned = source.cleaned, next.forgotten = source.forgotten;
+  next.entries = entries.size();
   in.call([&] { in.disk.append(1, entries, next); });
   in.records.clear(), in.holes.clear(), in.tombstones.clear();
   for (auto& index : in.newest) index.clear();
-  in.bytes = in.dead = 0, in.swept = 0, in.forgetAges();
+  in.loses = false, in.lost = 0, in.bytes = in.dead = 0, in.swept = 0, in.forgetAges();
   in.place(next);
   for (const Entry& e : entries) in.insert(e);
   return true;
@@ -274,7 +293,7 @@
 }
 bool Log::heal(const Entry& entry) {
   Inner& in = *inner_;
-  if (in.holes.count(entry.offset) == 0 || !fits(entry)) return false;
+  if (in.loses || in.holes.count(entry.offset) == 0 || !fits(entry)) return false;
   in.call([&] { in.disk.heal(entry); });
   in.holes.erase(entry.offset);
   in.insert(entry);
@@ -284,11 +303,11 @@
 }
 bool Log::close(Offset hole, Source source) {
   Inner& in = *inner_;
-  if (in.holes.empty() || *in.holes.begin() != hole || hole > in.head.committed) return false;
+  if (in.loses || in.holes.empty() || *in.holes.begin() != hole || hole > in.head.committed) return false;
   if (hole > source.cleaned || hole <= source.forgotten) return false;
   // What was there is superseded: told as such, so that the gap is none at the next start either.
   Head next = in.head;
-  next.cleaned = std::max(next.cleaned, hole);
+  next.cleaned = std::max(next.cleaned, hole), next.entries = in.count() - 1;
   in.call([&] { in.disk.drop({hole}, next); });
   in.place(next);
   in.holes.erase(hole);
@@ -357,6 +376,7 @@
   while (i != in.records.end() && std::binary_search(gone.begin(), gone.end(), i->first)) ++i;
   next.first = i == in.records.end() ? last : i->first;  // the last stays, but may be a hole
   if (!in.holes.empty()) next.first = std::min(next.first, *in.holes.begin());
+  next.entries = in.count() - gone.size();
   if (gone.empty() && next == in.head) return in.swept = swept, true;  // after a start: nothing new for the disk
   in.call([&] { in.disk.drop(gone, next); });
   in.place(next);
--- a/src/record/log.hpp
+++ b/src/record/log.hpp
@@ -49,10 +49,12 @@
 class Log {
  public:
   // Reads the disk, counts its start. `self`, `newStore` (of a new disk): a head of another keeper is refused (Failed: a swapped
-  // disk). Holes are kept as such: what does not fit its digest, and what is missing above `cleaned`.
+  // disk). Holes are kept as such: what does not fit its digest, and what is missing above `cleaned`. At or below it what is missing
+  // looks as if compacted; told by the count alone (Head::entries), it is one hole at the lowest gap, neither healed nor closed.
   Log(Id self, LogTerms terms, Disk& disk, std::uint64_t newStore);
   ~Log();
   const Head& head() const;
+  bool lost() const;            // an entry at or below `cleaned` is gone, and which one nobody can tell: only anew() mends it
   bool failed() const;          // a call of the disk failed: each further writing call throws Failed
   Offset last() const;          // 0: none; never goes back by compaction
   Token lastToken() const;      // 0: none, or a hole
--- a/src/record/writer.cpp
+++ b/src/record/writer.cpp
@@ -257,10 +257,10 @@
     if (can.empty()) return std::nullopt;
     return can[sourceTurn++ % can.size()];
   }
-  void bringUp(Ms now, Id id, const Send& send) {
+  void bringUp(Ms now, Id id, const Send& send, Id of = 0) {
     Peer& p = peers.at(id);
     if (p.fetching && now < p.fetched + terms.again) return;
-    auto from = source(id, p.session != 0 ? p.sessionSource : 0);
+    auto from = source(id, p.session != 0 ? p.sessionSource : of);
     if (!from && p.session != 0) p.session = 0, p.next = 1, from = source(id, 0);
     if (!from) return;
     p.fetching = true, p.fetchAfter = p.next - 1, p.fetched = now;
@@ -282,9 +282,10 @@
       for (const auto& [o, q] : peers) others += o != id && counts(q) && q.match >= committed ? 1 : 0;
       if (p.last >= f.cleaned && (phase != Phase::serving || others < majority())) return;
       p.session = 0;
+      // Of the same source: with another in turn that has forgotten less, what it has of old is common again, in a circle for ever.
       if (f.after != 0) {
         p.next = 1;
-        return bringUp(now, id, send);
+        return bringUp(now, id, send, from);
       }
       p.stranded = false;
       p.session = ++sessions, p.sessionForgotten = f.forgotten, p.sessionSource = from, p.match = 0;
--- a/src/store/record_lmdb.cpp
+++ b/src/store/record_lmdb.cpp
@@ -82,6 +82,7 @@
       w.set_store(h.store), w.set_starts(h.starts), w.set_keeper(h.keeper);
       w.set_promised(h.promised), w.set_committed(h.committed), w.set_first(h.first);
       w.set_cleaned(h.cleaned), w.set_forgotten(h.forgotten);
+      if (h.entries) w.set_entries(*h.entries);
       for (const auto& [id, upTo] : h.seen) {
         auto* one = w.add_seen();
         one->set_keeper(id), one->set_up_to(upTo);
@@ -140,6 +141,7 @@
   Head h;
   h.store = w.store(), h.starts = w.starts(), h.keeper = w.keeper(), h.promised = w.promised(), h.committed = w.committed();
   h.first = w.first(), h.cleaned = w.cleaned(), h.forgotten = w.forgotten();
+  if (w.has_entries()) h.entries = w.entries();
   for (const auto& one : w.seen()) h.seen.emplace_back(one.keeper(), one.up_to());
   return h;
 }
--- a/tests/record_test.cpp
+++ b/tests/record_test.cpp
@@ -308,6 +308,52 @@
   }
 }
 
+TEST_CASE("one lost where it looks compacted is found by the count; nothing is read over it, and only a log begun anew mends it") {
+  for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+    CAPTURE(seed);
+    auto list = mixed(40, seed);
+    MemoryDisk disk;
+    std::knuth_b chance(seed);
+    {
+      Log log(1, terms(3), disk, 1);
+      CHECK(log.append(0, list));
+      log.commit(40);
+      compact(log, {1, 30, 10});
+    }
+    Log well(1, terms(), disk, 1);
+    CHECK(!well.lost());
+    auto entries = all(well);
+    Source source{well.head().cleaned, well.head().forgotten};
+    std::vector<Offset> can;
+    for (const Entry& e : entries)
+      if (e.offset <= 30) can.push_back(e.offset);
+    std::size_t n = 1 + chance() % 2;
+    for (std::size_t k = 0; k < n; ++k) disk.lose(can[(chance() % (can.size() / 2)) * 2 + k]);
+    bool flips = chance() % 2 != 0;
+    if (flips) disk.flip(35);
+    for (int start = 0; start < 3; ++start) {
+      Log log(1, terms(), disk, 1);
+      CHECK(log.lost());
+      auto holes = log.holes(9);
+      REQUIRE(holes.size() == (flips && start == 0 ? 2 : 1));
+      for (Offset after = 0; after < 30; ++after) CHECK(log.read(after, 40, 1u << 20).empty());
+      CHECK(!log.heal(list[holes.front() - 1]));
+      CHECK(!log.close(holes.front(), {40, 0}));
+      if (start == 0) CHECK(log.append(0, {entry(41, "x", "y")}));
+      if (start == 0 && flips) CHECK(log.append(31, {list.begin() + 30, list.end()}) == false);
+      if (start == 0 && flips) CHECK(log.holes(9).size() == 2);
+      flips = false, disk.heal(list[34]);
+    }
+    Log log(1, terms(), disk, 1);
+    CHECK(log.anew(entries, source));
+    CHECK(!log.lost());
+    Log again(1, terms(), disk, 1);
+    CHECK(!again.lost());
+    CHECK(again.holes(9).empty());
+    CHECK(all(again) == entries);
+  }
+}
+
 TEST_CASE("all before a hole at the end is let go") {
   MemoryDisk disk;
   {
