Facts for the module: recalls that stand, copies no older than, pulls let in by share

Need: what the fleet's record and its recovery find out must reach the decisions as facts; what follows from them is decided there.

A recall of the record binds until it is lifted, by object, group or offering; a front that may have missed recalls asks for no copy older than a stated time; while a fleet comes back from a loss a share of new pulls is let in by offering, the rest is declined at once with a time to come back.

--- a/src/exchange/exchange.cpp
+++ b/src/exchange/exchange.cpp
@@ -318,6 +318,14 @@
   tell(std::move(news));
 }
 
+void Exchange::recallCame(std::string_view object, int group, int offering, bool lifted, Ms ago) {
+  ++counters.purges;
+  Purged p;
+  p.wholeGroup = object.empty() && offering < 0, p.object = object.empty() ? 0 : hashed(object), p.group = group;
+  p.ago = ago, p.standing = true, p.lifted = lifted, p.offering = offering;
+  tell(p);
+}
+
 void Exchange::purgeCame(bool wholeGroup, std::string_view object, int group, Ms at) {
   ++counters.purges;
   tell(Purged{wholeGroup, wholeGroup ? 0 : hashed(object), group, loop_.now() - at});
--- a/src/exchange/exchange.hpp
+++ b/src/exchange/exchange.hpp
@@ -114,6 +114,13 @@
 
   // from the fleet's verdict
   void sharesCame(std::vector<double> byZone) { tell(ZoneShares{std::move(byZone)}); }
+  // from the fleet's record and its recovery
+  void recallCame(std::string_view object, int group, int offering, bool lifted, Ms ago);
+  void noOlder(Ms than) { tell(NoOlder{than}); }
+  // The rules are another sheet's from now on: new pulls go by its offerings, and what decides is called at once. Which of them are
+  // never kept, or stream, holds for the life of a process: a pull under way must not be another kind of pull.
+  void turned(const StoreSheet& sheet) { offerings_ = sheet.offerings, tell(PeerSaid{}); }
+  void letIn(std::vector<double> byOffering, Ms comeBack) { tell(LetIn{std::move(byOffering), comeBack}); }
 
  private:
   struct Leg {
--- a/src/logic.hpp
+++ b/src/logic.hpp
@@ -130,6 +130,10 @@
   std::uint64_t object = 0;
   int group = 0;
   Ms ago = 0;
+  // A recall of the fleet's record binds until it is lifted, since no machine is told of it but by the ages asked for; of
+  // `offering`, where it is not below 0, whole. None comes on the bench's platform.
+  bool standing = false, lifted = false;
+  int offering = -1;
 };
 struct PeerSaid {
   std::uint32_t peer = 0;
@@ -140,8 +144,19 @@
 struct ZoneShares {
   std::vector<double> shares;
 };
+// Copies older than so many ms may have been recalled without this front's having heard of it: none is to be given; 0: no
+// such limit, as at start. Comes only where a front follows the fleet's record (src/record/).
+struct NoOlder {
+  Ms than = 0;
+};
+// The share of new pulls that is let in, by offering; empty: all, as at start. Comes only while a fleet comes back from a loss
+// (src/recovery/).
+struct LetIn {
+  std::vector<double> byOffering;
+  Ms comeBack = 0;  // told to what is not
+};
 using Event = std::variant<ListNews, PullCame, LegStarted, LegEnded, ClientLeft, WakeUp, ProbeEnded, Purged,
-                           PeerSaid, ZoneShares>;
+                           PeerSaid, ZoneShares, NoOlder, LetIn>;
 
 // ---- what is to be done
 struct SendLeg {
--- a/src/logic/choice.hpp
+++ b/src/logic/choice.hpp
@@ -52,6 +52,14 @@
     return (p.ware->payoff / std::max(p.sending, 1.0)) / (meanPayoff / std::max(meanWork, 1.0));
   }
 
+  // A fleet that comes back from a loss lets in what cold machines bear, all fronts together (src/recovery/);
+  // the rest is declined at once. Harm: a front that is told late declines what could be served.
+  LetIn admitted{};
+  bool letsIn(const Pull& p) const {
+    auto at = static_cast<std::size_t>(p.offering);
+    return at >= admitted.byOffering.size() || drawn() < admitted.byOffering[at];
+  }
+
   // Clients have so many places here, each taken until its answer; when all are, the next pull is turned away
   // whatever it is worth. A price on places settles where nine in ten are taken, and swings with them; what
   // earns less is declined. Guards against surges or slowness that fill them. Harm: costs some large objects.
--- a/src/logic/legs.hpp
+++ b/src/logic/legs.hpp
@@ -21,7 +21,8 @@
     memories.meet(p);
     p.agreedAt = now + std::min(w.agreed + w.agreedStretch * p.sending, w.expiry);
     act(WakeMe{std::max(now, p.expiresAt - beforeExpiry), wakePull << 56 | p.pull});
-    choice.crowdsOut(p) ? giveUp(p, w.meanSending) : tend(p);
+    if (!choice.letsIn(p)) giveUp(p, std::max(w.meanSending, choice.admitted.comeBack));
+    else choice.crowdsOut(p) ? giveUp(p, w.meanSending) : tend(p);
     pulls.forget(p);
   }
 
--- a/src/logic/purges.hpp
+++ b/src/logic/purges.hpp
@@ -7,9 +7,17 @@
 struct Purges : Part {
   const Ms kept = 2 * f.purgeDone;  // twice: a fill may lay down an old copy late, and the cap costs nothing
   std::unordered_map<std::uint64_t, Ms> purged{};  // object or group: when; emptied after `kept`
+  // The fleet's recalls, of offerings too: emptied as they are lifted, and as many as its record holds.
+  std::unordered_map<std::uint64_t, Ms> recalled{};
+  Ms noOlder = 0;
+
+  static std::uint64_t ofOffering(int offering) { return mixed(~static_cast<std::uint64_t>(offering)); }
 
   void take(const Purged& e) {
-    std::uint64_t key = e.wholeGroup ? ~static_cast<std::uint64_t>(e.group) : e.object;
+    std::uint64_t key = e.offering >= 0 ? ofOffering(e.offering) : e.object;
+    if (e.wholeGroup) key = ~static_cast<std::uint64_t>(e.group);
+    if (e.lifted) return void(recalled.erase(key));
+    if (e.standing) return void(recalled[key] = now - e.ago);
     Ms& known = purged.try_emplace(key, longAgo).first->second;
     known = std::max(known, now - e.ago);
     std::erase_if(purged, [&](auto& one) { return one.second < now - kept; });
@@ -21,15 +29,21 @@
       auto found = purged.find(key);
       if (found != purged.end() && found->second > now - kept) latest = std::max(latest, found->second);
     }
+    if (!recalled.empty())
+      for (std::uint64_t key : {p.object, ~static_cast<std::uint64_t>(p.group), ofOffering(p.offering)})
+        if (auto r = recalled.find(key); r != recalled.end()) latest = std::max(latest, r->second);
     return latest;
   }
 
   // The age asked for, 0 where the offering's own limit will do. After a purge: at most the time since it,
-  // less one millisecond against rounding, and never 0, which would lift the cap.
+  // less one millisecond against rounding, and never 0, which would lift the cap. Where recalls may have been
+  // missed: none older than that. Guards against a front cut off from the record. Harm: kept copies are
+  // checked.
   Ms oldest(const Pull& p) const {
     Ms purge = at(p);
-    if (purge == longAgo) return 0;
-    Ms since = std::max(now - purge - 1, 0.001);
+    if (purge == longAgo && noOlder <= 0) return 0;
+    Ms since = purge == longAgo ? noOlder : std::max(now - purge - 1, 0.001);
+    if (noOlder > 0) since = std::min(since, noOlder);
     return p.ware->freshFor > 0 ? std::min(since, p.ware->freshFor) : since;
   }
 };
--- a/src/logic/router.cpp
+++ b/src/logic/router.cpp
@@ -30,6 +30,8 @@
   void take(const ProbeEnded& e) { health.probed(e); }
   void take(const Purged& e) { purges.take(e); }
   void take(const ZoneShares& e) { choice.take(e); }
+  void take(const NoOlder& e) { purges.noOlder = e.than; }
+  void take(const LetIn& e) { choice.admitted = e; }
   void take(const PeerSaid&) {}  // fronts tell each other nothing this way
   void take(const LegStarted& e) {
     logic::Pull* p = pulls.known(e.pull);  // the client owns that leg now: nothing binds it but its end
