Owner: standing works, held without steps, and fronts that may not own yet

Need: to write the fleet's record is a work without steps or an end; its token is the fence. And a front that comes back from a power loss, or was set aside, must not come to own anything. Seen between processes: fronts outside the group waited for a leader that they would only have heard of by asking for a work; one that may not own asks for what it can't get, and so learns that the group answers.

--- a/src/owner/agent.cpp
+++ b/src/owner/agent.cpp
@@ -53,16 +53,19 @@
       out.ask(w.asking, Ask{w.question, Command{w.asked, self_, w.holder.token(), w.asked == Deed::take ? w.job.steps : w.step, w.job.work}});
     }
     if (!w.holder.holds()) {
-      if (w.question == 0 && now >= w.tryAt) ask(now, w, Deed::take, w.job.steps, out);
+      if (w.question == 0 && now >= w.tryAt && permitted_) ask(now, w, Deed::take, w.job.steps, out);
+      // One that may not own yet still wants to know whether there is a group that answers: it asks for what it can't get, a renewal of
+      // what it does not hold. Guards against waiting for each other: it is permitted once a leader is known.
+      else if (w.question == 0 && now >= w.tryAt && leader_ == 0) ask(now, w, Deed::renew, 0, out), w.tryAt = now + terms_.renewEvery;
       continue;
     }
     if (w.question == 0) {
       // What was done at all places is recorded before a renewal; both prove that this front still owns it.
       if (w.recording) ask(now, w, Deed::record, w.step, out);
-      else if (w.done >= w.job.steps && w.step == 0) ask(now, w, Deed::finish, w.done, out);
-      else if (now >= w.renewAt) ask(now, w, Deed::renew, 0, out);
+      else if (!w.job.standing && w.done >= w.job.steps && w.step == 0) ask(now, w, Deed::finish, w.done, out);
+      else if (now >= w.renewAt && (permitted_ || !w.job.standing)) ask(now, w, Deed::renew, 0, out);
     }
-    if (w.step == 0 && w.done < w.job.steps && now >= w.nextStepAt) {
+    if (!w.job.standing && w.step == 0 && w.done < w.job.steps && now >= w.nextStepAt) {
       w.step = w.done + 1, w.sentAt = -1e9, w.landed.clear();
     }
     if (w.step != 0 && !w.recording && now >= w.sentAt + repeatAfter) {
--- a/src/owner/agent.hpp
+++ b/src/owner/agent.hpp
@@ -19,6 +19,9 @@
   std::uint64_t steps = 1;
   Ms each = 50;            // from one step to the next, at least
   std::vector<Id> places;  // who carries it out
+  // A work without an end or steps of its own: to hold it is the work (the record's writing, say). Nothing is recorded for it; its
+  // token is the fence of whatever its owner does, and the next owner begins by what the fenced ones kept.
+  bool standing = false;
 };
 
 struct Ask {
@@ -58,6 +61,9 @@
   Agent(Id self, std::vector<Id> group, std::vector<Job> jobs, Terms terms, std::uint64_t seed, std::uint64_t incarnation,
         Ms now);
   void tick(Ms now, const Out& out);  // every 20 ms or so
+  // Whether this front may come to own anything (it may at first). What it holds it keeps till it is lost; a standing
+  // work is no longer renewed. For a front that is still coming back from a power loss, or that was set aside.
+  void permit(bool may) { permitted_ = may; }
   void answered(Ms now, Id from, const Answer& a, const Out& out);
   void did(Ms now, Id from, const Did& d, const Out& out);
   Breaks breaks;
@@ -69,6 +75,7 @@
     Ms until = 0;
   };
   std::vector<Held> held() const;
+  bool knowsLeader() const { return leader_ != 0; }
   bool idle() const;  // nothing is left to do, as far as it knows
 
  private:
@@ -98,6 +105,7 @@
   Id leader_ = 0;
   std::size_t next_ = 0;
   std::uint64_t numbers_ = 0;
+  bool permitted_ = true;
 };
 
 }  // namespace dunlinwick::owner
