Record: a keeper tells how old its own news is; floors kept in LMDB

Cause: a keeper that is cut off from the writer does not know that it is behind, and a front that reads there took itself for caught up, so a recall acknowledged elsewhere could be missed without anybody's knowing. A piece now tells how long ago its keeper heard a writer that was not fenced off; the subscriber counts from then, and leaves a keeper with old news for the next one. Beside it the store of the floors that recovery trusts (whose, token, offset, incarnation, rules, witnessed incarnations), one value behind a digest. record_test passes.

--- a/src/record/subscribers.cpp
+++ b/src/record/subscribers.cpp
@@ -20,7 +20,7 @@
     for (int k = 0; k < 8; ++k) bytes.push_back(static_cast<char>(v >> (8 * k)));
   };
   number(p.number), number(p.after), number(p.upTo), number(p.committed), number(p.snapshot);
-  number(p.forgotten), number(p.startOver);
+  number(p.forgotten), number(p.age), number(p.startOver);
   for (const Entry& e : p.entries) number(digest(e));
   return XXH64(bytes.data(), bytes.size(), 1);
 }
@@ -34,7 +34,7 @@
   } else if (const auto* p = std::get_if<Piece>(&s)) {
     auto* to = m.mutable_piece();
     to->set_number(p->number), to->set_after(p->after), to->set_up_to(p->upTo), to->set_committed(p->committed);
-    to->set_snapshot(p->snapshot), to->set_forgotten(p->forgotten), to->set_start_over(p->startOver), to->set_digest(p->digest);
+    to->set_snapshot(p->snapshot), to->set_forgotten(p->forgotten), to->set_age(p->age), to->set_start_over(p->startOver), to->set_digest(p->digest);
     for (const Entry& e : p->entries) toWire(e, to->add_entries());
   } else {
     auto* to = m.mutable_lease();
@@ -58,7 +58,7 @@
     const auto& w = m.piece();
     Piece p;
     p.number = w.number(), p.after = w.after(), p.upTo = w.up_to(), p.committed = w.committed(), p.snapshot = w.snapshot();
-    p.forgotten = w.forgotten(), p.startOver = w.start_over(), p.digest = w.digest();
+    p.forgotten = w.forgotten(), p.age = w.age(), p.startOver = w.start_over(), p.digest = w.digest();
     for (const auto& one : w.entries()) {
       auto e = fromWire(one);
       if (!e) return std::nullopt;
@@ -112,7 +112,7 @@
 
 Server::Server(Log& log, SubscriberTerms terms, Ms) : inner_(std::make_shared<Inner>(Inner{log, terms, {}})) {}
 
-std::optional<Piece> Server::wants(Ms now, const Want& w) {
+std::optional<Piece> Server::wants(Ms now, const Want& w, std::uint64_t age) {
   Inner& in = *inner_;
   if (!in.log.whole()) return std::nullopt;
   in.empty(now);
@@ -128,7 +128,7 @@
   const Head& head = in.log.head();
   one.life = w.life, one.number = w.number, one.position = w.after, one.until = now + in.terms.lease;
   Piece p;
-  p.number = w.number, p.after = p.upTo = w.after, p.committed = head.committed, p.forgotten = head.forgotten;
+  p.number = w.number, p.after = p.upTo = w.after, p.committed = head.committed, p.forgotten = head.forgotten, p.age = age;
   if (w.after == 0) {
     one.snapshot = head.committed;
   } else if (w.after < head.forgotten && w.clean < head.forgotten && !in.terms.breaks.resumedForgotten) {
@@ -233,7 +233,8 @@
     out.entry(e);
   }
   if (in.caughtUp()) {
-    if (p.committed >= in.committed) in.goodAt = in.askedAt;
+    if (p.committed >= in.committed) in.goodAt = std::max(in.goodAt, in.askedAt - static_cast<Ms>(p.age));
+    if (static_cast<Ms>(p.age) > in.terms.staleNews) in.next();
     in.due = now + in.terms.askEvery;
   } else if (moved) {
     in.ask(now, out);
--- a/src/record/subscribers.hpp
+++ b/src/record/subscribers.hpp
@@ -25,6 +25,7 @@
 struct SubscriberTerms {
   Ms lease = 30000, askEvery = 200, again = 400;
   std::size_t pieceBytes = 32 << 10, mostSubscribers = 1024;
+  Ms staleNews = 1500;  // a keeper that has not heard a writer for so long is left for the next one
   Breaks breaks = {};
 };
 
@@ -39,6 +40,7 @@
   std::uint64_t number = 0;  // of the question
   Offset after = 0, upTo = 0, committed = 0, snapshot = 0;  // snapshot: S, while a join reads up to it
   Offset forgotten = 0;  // of the keeper, as it answers
+  std::uint64_t age = 0;  // ms since the keeper last heard a writer: what it does not know may be so old
   bool startOver = false;
   std::vector<Entry> entries;
   std::uint64_t digest = 0;  // over all of the above
@@ -58,7 +60,8 @@
  public:
   Server(Log& log, SubscriberTerms terms, Ms now);
   // Nothing: full of subscribers, a late copy of an earlier question, or this keeper is itself being brought up (Log::whole()).
-  std::optional<Piece> wants(Ms now, const Want& want);
+  // `age`: ms since this keeper last heard a writer.
+  std::optional<Piece> wants(Ms now, const Want& want, std::uint64_t age = 0);
   Lease living(Ms now) const;
   Offset passed(Ms now) const;  // least position of the living; the log's committed offset where there is none
 
@@ -83,8 +86,8 @@
   Offset position() const;
   Offset committed() const;  // the highest told by a keeper
   bool caughtUp() const;     // position >= the highest told as committed, and past the snapshot
-  // When the question was asked whose answer last showed it caught up with a keeper not behind the highest told; < 0: never. A
-  // keeper that is cut off from the writer does not know that it is behind: what it answers is as good as its own news.
+  // As of when it was last shown caught up with a keeper not behind the highest told: when the question was asked, less the age of that
+  // keeper's own news of the writer; < 0: never. So a front whose keeper is cut off as well knows that it may have missed something.
   Ms goodAt() const;
   std::uint64_t bytes() const;    // of keys and values told, and 40 for each entry
   std::uint64_t refused() const;  // pieces that did not fit: digest, order, or another place than asked for
--- /dev/null
+++ b/src/store/floors.cpp
@@ -0,0 +1,91 @@
+#include "store/floors.hpp"
+
+#include <lmdb.h>
+#include <sys/stat.h>
+#include <xxhash.h>
+
+#include <cerrno>
+#include <cstring>
+#include <stdexcept>
+
+#include "floors.pb.h"
+
+namespace dunlinwick::store {
+
+struct FloorStore::Inner {
+  std::string folder;
+  MDB_env* env = nullptr;
+  MDB_dbi dbi = 0;
+  ~Inner() {
+    if (env) mdb_env_close(env);
+  }
+  void check(const char* what, int fault) const {
+    if (fault != 0) throw std::runtime_error(folder + ": " + what + ": " + (fault > 0 ? std::strerror(fault) : mdb_strerror(fault)));
+  }
+};
+
+FloorStore::FloorStore(const std::string& folder) : inner_(std::make_unique<Inner>()) {
+  Inner& in = *inner_;
+  in.folder = folder;
+  if (::mkdir(folder.c_str(), 0700) != 0 && errno != EEXIST) in.check("can't be made", errno);
+  in.check("no environment", mdb_env_create(&in.env));
+  in.check("can't be set up", mdb_env_set_mapsize(in.env, 1 << 20));
+  in.check("can't be opened", mdb_env_open(in.env, folder.c_str(), 0, 0600));
+  MDB_txn* txn = nullptr;
+  in.check("no transaction", mdb_txn_begin(in.env, nullptr, 0, &txn));
+  int fault = mdb_dbi_open(txn, nullptr, 0, &in.dbi);
+  if (fault != 0) mdb_txn_abort(txn);
+  in.check("can't be opened", fault);
+  in.check("can't be kept", mdb_txn_commit(txn));
+}
+FloorStore::~FloorStore() = default;
+
+FloorStore::Found FloorStore::read(KeptFloors& into) {
+  Inner& in = *inner_;
+  MDB_txn* txn = nullptr;
+  in.check("no transaction", mdb_txn_begin(in.env, nullptr, MDB_RDONLY, &txn));
+  char name[] = "floors";
+  MDB_val key{sizeof name - 1, name}, value{};
+  int fault = mdb_get(txn, in.dbi, &key, &value);
+  std::string bytes;
+  if (fault == 0) bytes.assign(static_cast<const char*>(value.mv_data), value.mv_size);
+  mdb_txn_abort(txn);
+  if (fault == MDB_NOTFOUND) return Found::empty;
+  in.check("can't be read", fault);
+  proto::floors::Floors f;
+  std::uint64_t digest = 0;
+  if (bytes.size() < sizeof digest) return Found::spoilt;
+  std::memcpy(&digest, bytes.data(), sizeof digest);
+  const char* body = bytes.data() + sizeof digest;
+  std::size_t size = bytes.size() - sizeof digest;
+  if (XXH64(body, size, 0) != digest || !f.ParseFromArray(body, static_cast<int>(size))) return Found::spoilt;
+  into = {f.whose(), f.token(), f.offset(), f.incarnation(), f.rules_digest(), f.rules_version(), {}};
+  for (const auto& w : f.witnessed()) into.witnessed[w.front()] = w.incarnation();
+  return Found::good;
+}
+
+void FloorStore::write(const KeptFloors& k) {
+  Inner& in = *inner_;
+  proto::floors::Floors f;
+  f.set_whose(k.whose), f.set_token(k.token), f.set_offset(k.offset), f.set_incarnation(k.incarnation);
+  f.set_rules_digest(k.rulesDigest), f.set_rules_version(k.rulesVersion);
+  for (const auto& [id, incarnation] : k.witnessed) {
+    auto* w = f.add_witnessed();
+    w->set_front(id), w->set_incarnation(incarnation);
+  }
+  std::string body = f.SerializeAsString();
+  std::uint64_t digest = XXH64(body.data(), body.size(), 0);
+  std::string bytes(sizeof digest, '\0');
+  std::memcpy(bytes.data(), &digest, sizeof digest);
+  bytes += body;
+  char name[] = "floors";
+  MDB_val key{sizeof name - 1, name}, value{bytes.size(), bytes.data()};
+  MDB_txn* txn = nullptr;
+  in.check("no transaction", mdb_txn_begin(in.env, nullptr, 0, &txn));
+  int fault = mdb_put(txn, in.dbi, &key, &value, 0);
+  if (fault != 0) mdb_txn_abort(txn);
+  in.check("can't be written", fault);
+  in.check("can't be kept", mdb_txn_commit(txn));
+}
+
+}  // namespace dunlinwick::store
--- /dev/null
+++ b/src/store/floors.hpp
@@ -0,0 +1,35 @@
+// The floors that a front keeps through a crash (src/recovery/), in LMDB: one value, one transaction a write, on the disk when write()
+// returns. A value whose digest does not fit, or whose bytes can't be read, is told as such and never used.
+// Throws std::runtime_error with the path and the reason. Bound: 1 MB.
+#pragma once
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace dunlinwick::store {
+
+struct KeptFloors {
+  std::uint32_t whose = 0;
+  std::uint64_t token = 0, offset = 0, incarnation = 0, rulesDigest = 0, rulesVersion = 0;
+  std::map<std::uint32_t, std::uint64_t> witnessed;  // incarnations of other fronts; at most 1000
+  bool operator==(const KeptFloors&) const = default;
+};
+
+class FloorStore {
+ public:
+  explicit FloorStore(const std::string& folder);  // made where it is not there
+  ~FloorStore();
+  FloorStore(const FloorStore&) = delete;
+  FloorStore& operator=(const FloorStore&) = delete;
+  enum class Found { empty, good, spoilt };
+  Found read(KeptFloors& into);
+  void write(const KeptFloors& floors);
+
+ private:
+  struct Inner;
+  std::unique_ptr<Inner> inner_;
+};
+
+}  // namespace dunlinwick::store
