Approvals wait for what is not read yet; the second of two is refused for what it replaces

Seen by hand: `dunlinctl record approve` right after a write was refused, since the owner had not read that write yet; and the process test's second approval was refused for that reason too, not by compare and set, so the check could not see what it was for. Such a refusal is now "not yet", which the command asks again; the test waits for the refusal that names the version that stands. A standing never reached has no time in the view. layer_drift passes.

--- a/src/ctl/record.cpp
+++ b/src/ctl/record.cpp
@@ -64,7 +64,7 @@
           }
           last = a;
           if (a.outcome() != 3) return a;
-          break;  // not here: the next one
+          break;  // not here, or not yet: the next one, and round again
         }
       }
       for (double rest = loop.now() + 200; loop.now() < rest;) loop.turn(20);
--- a/src/front/record.cpp
+++ b/src/front/record.cpp
@@ -248,7 +248,7 @@
     answer.set_outcome(outcome), answer.set_why(why), answer.set_owner(in.ways.owner());
     reply(answer.SerializeAsString());
   };
-  // Outcomes: 0 acknowledged, 1 lost, 2 unsure (as Writer::Outcome), 3 not here, 4 refused.
+  // Outcomes: 0 acknowledged, 1 lost, 2 unsure (as Writer::Outcome), 3 not here or not yet (asked again), 4 refused.
   if (!batch.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) return;
   answer.set_number(batch.number());
   if (!in.writer || in.writer->phase() != record::Phase::serving) return say(3, "this front does not own the record, or not yet");
@@ -268,7 +268,7 @@
     if (e.stream == record::Stream::rules) {
       // Compare and set: what is compared is what this front has read, so it must have read all, and one is written at a time.
       if (in.behind || in.subscriber->position() < in.writer->committed() || in.rulesUnderWay > 0)
-        return say(4, "another change of the rules is under way, or not read here yet; ask again");
+        return say(3, "another change of the rules is under way, or not read here yet");
       if (std::string why = in.ways.refuses(e.stream, e.key, e.tombstone, p.value()); !why.empty()) return say(4, why.c_str());
       ofRules = true;
     }
--- a/src/front/rules.cpp
+++ b/src/front/rules.cpp
@@ -162,7 +162,7 @@
   bool first = true;
   for (const auto& [id, row] : in.drift.rows()) {
     s += std::string(first ? "" : ",") + "{\"id\":" + std::to_string(id) + ",\"standing\":\"" + drift::word(row.standing) + "\",\"since_ms\":" +
-         std::to_string(static_cast<long long>(in.loop.now() - row.since)) + ",\"version\":" + std::to_string(row.version) + ",\"aside\":" +
+         (row.since > 0 ? std::to_string(static_cast<long long>(in.loop.now() - row.since)) : "null") + ",\"version\":" + std::to_string(row.version) + ",\"aside\":" +
          (row.aside ? "true" : "false") + ",\"fields\":" + std::to_string(row.fields.size()) + "}";
     first = false;
   }
--- a/tests/layer_test.cpp
+++ b/tests/layer_test.cpp
@@ -258,8 +258,9 @@
   a.form["road"]["connect_within"] = "400";
   std::optional<proto::record::PutAnswer> first;
   s.until("rules approved", [&] { return (first = s.put(record::Stream::rules, "fleet", drift::encode(a))) && first->outcome() == 0; });
-  auto second = s.put(record::Stream::rules, "fleet", drift::encode(a));
-  assert(second && second->outcome() == 4 && "compare and set: it replaces nothing that stands");
+  std::optional<proto::record::PutAnswer> second;  // it replaces nothing, and something stands
+  s.until("compare and set: a second one over nothing refused", [&] { return (second = s.put(record::Stream::rules, "fleet", drift::encode(a))) && second->outcome() != 3; });
+  assert(second->outcome() == 4 && second->why().find("the record stands at") != std::string::npos);
   auto standing = [](const json::Value& v, std::uint32_t id) -> std::string {
     const json::Value* rules = v.find("rules", json::Kind::object);
     const json::Value* fronts = rules ? rules->find("fronts", json::Kind::list) : nullptr;
