Peers' front test: its bulk is made without a signed overflow

Seen: the test ended under the sanitizers at 46341 * 46341 in the test's own loop; the product is not concerned.

--- a/tests/peers_front_test.cpp
+++ b/tests/peers_front_test.cpp
@@ -67,7 +67,7 @@
   Notes record(peers::Channel::record), owner(peers::Channel::owner), members(peers::Channel::members);
   b.carry(record), b.carry(owner), b.carry(members);
   std::string bulk;
-  for (int i = 0; i < 300000; ++i) bulk += static_cast<char>(i * i >> 7);
+  for (std::uint32_t i = 0; i < 300000; ++i) bulk += static_cast<char>(i * i >> 7);
   a.send(peers::Channel::record, 2, bulk);
   a.send(peers::Channel::members, 2, "probe");
   a.send(peers::Channel::members, 9, "to nobody");
