Connection: tells that the peer is done, asks before what waited goes, reads last words

Seen by reading: bytes read in the same poll as the peer's close were handed on as if it were there; a message that waited for a connection to come up was written however late that was; a failed write dropped answers that already lay in the system's buffers. Connection::peerDone() is set before came(), Owner::stillWanted() is asked in the moment before a waiting message's first byte, and after a failed write the rest is read before the end is reported.

--- a/src/loop/connection.cpp
+++ b/src/loop/connection.cpp
@@ -72,7 +72,7 @@
 }
 
 void Connection::rewatch() {
-  if (isOver()) return;
+  if (isOver() || broken_) return;
   // POLLRDHUP shows a peer that left while nothing is read from it.
   short events = POLLRDHUP;
   if (up_ && in.size() < most_) events |= POLLIN;
@@ -96,7 +96,7 @@
   out_.push_back({std::move(message), ++marks_});
   held_ = more && !waits;
   if (held_) return marks_;
-  if (up_ && !isOver() && !waits) flush();
+  if (up_ && !isOver() && !waits) flush(false);
   rewatch();
   return marks_;
 }
@@ -120,11 +120,19 @@
   shut_ = true;
 }
 
-void Connection::flush() {
-  while (!isOver() && !out_.empty()) {
+void Connection::flush(bool waited) {
+  while (!isOver() && !broken_ && !out_.empty()) {
+    // What waited is looked at again in the moment it goes: its client may have left, or its time be up. Harm without: an
+    // attempt begun long after nobody wants it any more, or after its repeats are known.
+    if (waited && outDone_ == 0 && !owner_.stillWanted(out_.front().mark)) {
+      out_.pop_front();
+      continue;
+    }
     iovec parts[16];
     int count = 0;
     for (Message& m : out_) {
+      // Asked one by one as they come to the front; an answer's head and body were sent as one and never waited apart.
+      if (waited && count > 0) break;
       std::size_t skip = count == 0 ? outDone_ : 0;
       parts[count++] = {m.bytes.data() + skip, m.bytes.size() - skip};
       if (count == 16) break;
@@ -132,7 +140,7 @@
     ssize_t put = loop_.ground().send(fd_.get(), {parts, static_cast<std::size_t>(count)});
     if (put == -EINTR) continue;
     if (put == -EAGAIN || put == -EWOULDBLOCK || put == -ENOBUFS) return;
-    if (put < 0) return endAs(Parting::reset);
+    if (put < 0) return lastWords();
     outDone_ += static_cast<std::size_t>(put);
     while (!out_.empty() && outDone_ >= out_.front().bytes.size()) {
       outDone_ -= out_.front().bytes.size();
@@ -141,6 +149,25 @@
   }
 }
 
+// Nothing can be written any more, but what the other side said before it broke off still lies in the system's buffers: it is
+// read in the next turn, then the end is reported. Harm without: an answer that had come counts as lost.
+void Connection::lastWords() {
+  broken_ = true;
+  peerDone_ = true;
+  loop_.forget(fd_.get());
+  limit_ = loop_.at(loop_.now(), [this] {
+    constexpr int most = 64;  // reads: 1 MB, beyond any answer
+    for (int i = 0; i < most && !isOver() && in.size() < most_; ++i) {
+      std::span<char> room = in.room(1 << 14);
+      ssize_t got = loop_.ground().receive(fd_.get(), room);
+      if (got <= 0) break;
+      in.wrote(static_cast<std::size_t>(got));
+      owner_.came();
+    }
+    if (!isOver()) finish(Parting::reset);
+  });
+}
+
 void Connection::fetch() {
   // One read a turn, so that a fast sender does not hold up the others.
   constexpr std::size_t chunk = 1 << 14;
@@ -165,16 +192,17 @@
     if (!(events & POLLOUT)) return;
     up_ = true;
     loop_.cancel(limit_);
-    flush();
+    flush(true);
     if (!isOver() && out_.empty()) owner_.drained();
     return rewatch();
   }
+  peerDone_ |= (events & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
   // Answers that came before a break are read first.
   if ((events & POLLIN) && in.size() < most_) fetch();
   else if (events & (POLLERR | POLLHUP)) return finish(Parting::reset);
   else if (events & POLLRDHUP) return finish(Parting::closed);
-  if (isOver() || !(events & POLLOUT) || out_.empty()) return;
-  flush();
+  if (isOver() || broken_ || !(events & POLLOUT) || out_.empty()) return;
+  flush(true);
   if (!isOver() && out_.empty()) owner_.drained();
   rewatch();
 }
--- a/src/loop/connection.hpp
+++ b/src/loop/connection.hpp
@@ -34,6 +34,9 @@
     virtual void came() = 0;              // there are bytes in the buffer
     virtual void drained() {}             // all messages are out
     virtual void ended(Parting how) = 0;  // once; never called out of a call of the owner's
+    // Asked of a message that had to wait, in the moment before its first byte is written. False: it is dropped
+    // unwritten, and the owner sees to what hung on it. It sends and closes nothing from within.
+    virtual bool stillWanted(std::uint64_t mark) { return static_cast<void>(mark), true; }
 
    protected:
     ~Owner() = default;
@@ -50,6 +53,9 @@
   bool takeBack(std::uint64_t mark);      // drops a message of which nothing was written
   bool drainedOut() const { return out_.empty(); }
   bool isOver() const { return over_ || report_ != 0; }  // or about to be reported so
+  // The other side has closed or broken it. Known before came() hands on the bytes that were read in the same moment: they may be
+  // the last words of somebody who has left.
+  bool peerDone() const { return peerDone_; }
   void readUpTo(std::size_t most);                       // reads no more while the buffer holds that much
   void bePatient(bool patient);                          // nothing but its end is waited for
   void endAs(Parting how);                               // reports it to the owner in the next turn
@@ -64,13 +70,15 @@
   void ready(short events) override;
   void finish(Parting how);
   void fetch();
-  void flush();
+  void flush(bool waited);
+  void lastWords();
   void rewatch();
 
   Loop& loop_;
   Owner& owner_;
   Descriptor fd_;
   bool up_ = false, over_ = false, shut_ = false, patient_ = false, held_ = false;
+  bool peerDone_ = false, broken_ = false;
   std::size_t most_ = 1 << 16;
   std::deque<Message> out_;  // emptied as the other side takes it
   std::size_t outDone_ = 0;  // bytes of the first message that are written
