Attempts that wait are looked at again when written, and taken back when unwanted

Cause, by reading: what waited for a connection, for a check or behind other bytes went out however late, whoever had left (with cancelling not allowed nothing took it back), past the window in which repeats are known, past a drain or purge told meanwhile. A moved attempt's new connection was not told to the exchange, so a duplicate answer could pass for the next attempt's. A check answered together with a close got an exclusive request written into the close. Want of a descriptor of ours counted as a strike against the cache. Exchange::settle() and takeBackAll(), SendLeg::notAfter, Line::stillWanted(), LegEnded::ours, Loop's patient ones first.

--- a/src/caches/caches.cpp
+++ b/src/caches/caches.cpp
@@ -16,7 +16,8 @@
   std::uint32_t cache = 0;
   std::string id, bytes;
   bool proven = false;
-  int moves = 0;  // connections that ended under it
+  std::vector<std::uint64_t> avoid;  // connections on which an earlier answer to its request may still come
+  int moves = 0;                     // connections that ended under it
 };
 
 static const std::string callId = "call";  // no pull's id, and no probe's
@@ -41,7 +42,7 @@
   // The peer closes what has been idle for the stated time. A request could cross that close and be taken for
   // one that may have run; so it is not used in the last tenth of that time.
   bool fit(const std::string& id) const {
-    return !connection_.isOver() && !stale_ && !mute() && open_.count(id) == 0 &&
+    return !connection_.isOver() && !connection_.peerDone() && !stale_ && !mute() && open_.count(id) == 0 &&
            open_.size() < static_cast<std::size_t>(all_.terms_.legsAtOnce) &&
            (!idle() || all_.loop_.now() - usedAt_ < 0.9 * all_.terms_.idleFor);
   }
@@ -75,12 +76,29 @@
            at->second.key.leg == key.leg;
   }
   void giveUp(const std::string& id) {
-    Open given = open_.at(id);
-    open_.erase(id);
+    Ms sentAt = open_.at(id).sentAt;
     usedAt_ = all_.loop_.now();
-    doubt(given.sentAt);
-    if (std::erase_if(held_, [&](const Held& one) { return one.id == id; }) > 0) return;  // it never left
-    if (!connection_.takeBack(given.mark)) connection_.send(neverMindLine(id));
+    doubt(sentAt);
+    if (takeBack(id)) return;
+    open_.erase(id);
+    connection_.send(neverMindLine(id));
+  }
+  // False, with nothing changed, where a byte of it may have left.
+  bool takeBack(const std::string& id) {
+    auto at = open_.find(id);
+    bool held = std::erase_if(held_, [&](const Held& one) { return one.id == id; }) > 0;
+    if (!held && !connection_.takeBack(at->second.mark)) return false;
+    return open_.erase(at), true;
+  }
+  // What waited for the connection to come up, or behind other bytes, is not begun where nobody wants it any more.
+  bool stillWanted(std::uint64_t mark) override {
+    for (auto at = open_.begin(); at != open_.end(); ++at)
+      if (at->second.what == What::leg && at->second.mark == mark) {
+        if (all_.exchange_.stillWanted(at->second.key)) return true;
+        all_.lapse(at->second.key);
+        return open_.erase(at), false;
+      }
+    return true;
   }
 
   void sweep(Ms now) {
@@ -131,7 +149,12 @@
     std::uint32_t cache = cache_;
     all.drop(cache, number_);  // this object lives until the turn is over
     int fell = 0;
-    for (Held& one : held) ++one.moves, all.place(std::move(one));
+    for (Held& one : held) {
+      ++one.moves;
+      LegKey key = one.key;
+      if (!all.exchange_.stillWanted(key)) all.lapse(key);
+      else if (std::uint64_t via = all.place(std::move(one))) all.exchange_.moved(key, via);
+    }
     for (auto& [open, whole] : lost)
       if (open.what == What::probe) all.exchange_.probeEnded(cache, false, all.loop_.now() - open.sentAt, {});
       else if (open.what == What::leg) all.exchange_.legLost(open.key, how, whole, fell++);
@@ -173,9 +196,16 @@
     ++all_.exchange_.counters.calls;
   }
   void calledBack() {
+    // The answer and the peer's close came together: what waits goes over another connection, when this one's end is told. Harm
+    // without: what may run once is written where nobody reads it, and can't be asked again.
+    if (connection_.peerDone()) return;
     for (Held& one : std::exchange(held_, {})) {
       auto at = open_.find(one.id);
       if (at == open_.end()) continue;
+      if (!all_.exchange_.stillWanted(one.key)) {
+        all_.lapse(one.key), open_.erase(at);
+        continue;
+      }
       at->second.mark = connection_.send(std::move(one.bytes));
     }
   }
@@ -331,23 +361,38 @@
     return 0;
   }
   std::string line = wantLine(ask, how, how.source == how.cache ? "" : source->second.id);
-  return place({key, how.cache, ask.id, std::move(line), how.proven}, avoid);
+  return place({key, how.cache, ask.id, std::move(line), how.proven, avoid});
 }
 
-std::uint64_t Caches::place(Held what, const std::vector<std::uint64_t>& avoid) {
+// Told in a turn of its own, since it may come up within any call.
+void Caches::lapse(LegKey key) {
+  loop_.at(loop_.now(), [this, key] { exchange_.lapsed(key); });
+}
+
+std::uint64_t Caches::place(Held what) {
   auto at = machines_.find(what.cache);
   bool none = at == machines_.end() || at->second.supplanted;
-  Line* line = none ? nullptr : lineFor(at->second, what.cache, what.id, avoid);
+  Line* line = none ? nullptr : lineFor(at->second, what.cache, what.id, what.avoid);
   if (line) return line->leg(std::move(what)), line->number();
   exchange_.legLost(what.key, none ? Parting::replaced : Parting::noDescriptor, false);
   return 0;
 }
 
-void Caches::giveUp(LegKey key, const Ask& ask, std::uint32_t cache) {
+Caches::Line* Caches::lineOf(LegKey key, const Ask& ask, std::uint32_t cache) {
   auto at = machines_.find(cache);
-  if (at == machines_.end()) return;
+  if (at == machines_.end()) return nullptr;
   for (auto& [number, line] : at->second.lines)
-    if (line->has(key, ask.id)) return line->giveUp(ask.id);
+    if (line->has(key, ask.id)) return line.get();
+  return nullptr;
+}
+
+void Caches::giveUp(LegKey key, const Ask& ask, std::uint32_t cache) {
+  if (Line* line = lineOf(key, ask, cache)) line->giveUp(ask.id);
+}
+
+bool Caches::takeBack(LegKey key, const Ask& ask, std::uint32_t cache) {
+  Line* line = lineOf(key, ask, cache);
+  return line && line->takeBack(ask.id);
 }
 
 void Caches::probe(std::uint32_t cache) {
--- a/src/caches/caches.hpp
+++ b/src/caches/caches.hpp
@@ -15,6 +15,7 @@
   std::uint64_t send(exchange::LegKey key, const exchange::Ask& ask, const SendLeg& how,
                      const std::vector<std::uint64_t>& avoid) override;
   void giveUp(exchange::LegKey key, const exchange::Ask& ask, std::uint32_t cache) override;
+  bool takeBack(exchange::LegKey key, const exchange::Ask& ask, std::uint32_t cache) override;
   void probe(std::uint32_t cache) override;
   void list(const ListEntry& entry, const std::string& id, const loop::Address& at) override;
   void forget(std::uint32_t cache) override;
@@ -30,7 +31,9 @@
     std::map<std::uint64_t, std::shared_ptr<Line>> lines;  // by number; emptied as they end
   };
   struct Held;
-  std::uint64_t place(Held what, const std::vector<std::uint64_t>& avoid = {});
+  std::uint64_t place(Held what);
+  void lapse(exchange::LegKey key);
+  Line* lineOf(exchange::LegKey key, const exchange::Ask& ask, std::uint32_t cache);
   Line* lineFor(Machine& m, std::uint32_t cache, const std::string& id,
                 const std::vector<std::uint64_t>& avoid);
   void drop(std::uint32_t cache, std::uint64_t line);
--- a/src/exchange/exchange.cpp
+++ b/src/exchange/exchange.cpp
@@ -53,17 +53,50 @@
   untold_.push_back(std::move(event));
   if (telling_) return;  // what an action leads to is told after it
   telling_ = true;
-  while (!untold_.empty()) {
+  while (!untold_.empty() || !ended_.empty()) {
+    if (untold_.empty()) {
+      std::uint32_t pull = ended_.back();
+      ended_.pop_back();
+      settle(pull);
+      continue;
+    }
     Event next = std::move(untold_.front());
     untold_.pop_front();
     for (const Action& action : decides_(loop_.now(), next))
       std::visit([this](const auto& a) { act(a); }, action);
   }
   telling_ = false;
-  for (std::uint32_t pull : ended_)
-    if (Pull* p = known(pull); p && !p->asker && std::none_of(p->legs.begin(), p->legs.end(), isOut))
-      pulls_.erase(pull);
-  ended_.clear();
+}
+
+// A request that has its final answer, or whose client has left: what of it still waits to be written is taken back, whether or
+// not the settings allow cancelling, since no cache has heard of it. Guards against attempts begun for nobody, as long after as a
+// connection takes to come up. It is forgotten when its last attempt is in.
+void Exchange::settle(std::uint32_t pull) {
+  Pull* p = known(pull);
+  if (!p || p->asker) return;
+  takeBack(pull, [](const Leg&) { return true; });
+  if (untold_.empty() && std::none_of(p->legs.begin(), p->legs.end(), isOut)) pulls_.erase(pull);
+}
+
+template <class Which>
+void Exchange::takeBack(std::uint32_t pull, Which which) {
+  Pull* p = known(pull);
+  std::size_t count = p ? p->legs.size() : 0;  // not those that are sent in the place of these
+  for (std::size_t i = 0; p && i < count; ++i) {
+    LegKey key{pull, static_cast<int>(i)};
+    if (p->legs[i].out && p->streaming != key.leg && which(p->legs[i]) && caches_->takeBack(key, p->ask, p->legs[i].cache)) {
+      lapsed(key);
+      p = known(pull);  // what decides was told, and may have ended it
+    }
+  }
+}
+
+template <class Which>
+void Exchange::takeBackAll(Which which) {
+  std::vector<std::uint32_t> all;
+  for (auto& [pull, p] : pulls_) all.push_back(pull);
+  for (std::uint32_t pull : all)
+    if (Pull* p = known(pull)) takeBack(pull, [&, p](const Leg& leg) { return which(*p, leg); });
 }
 
 Asker* Exchange::close(std::uint32_t pull) {
@@ -83,7 +116,9 @@
   Ms now = loop_.now();
   Leg leg;
   leg.cache = a.cache;
+  leg.source = a.source;
   leg.sentAt = now;
+  leg.notAfter = a.notAfter;
   p->legs.push_back(std::move(leg));
   ++counters.legs;
   counters.fills += a.source != a.cache;
@@ -96,6 +131,11 @@
     caches_->giveUp(key, known(key.pull)->ask, legOut(key)->cache);
     endLeg(key, Ending::timedOut);
   });
+  // What is still not begun then is answered at once: waiting on can't help it.
+  if (a.notAfter > 0)
+    p->legs.back().limit = loop_.at(std::max(now, a.notAfter), [this, key] {
+      takeBack(key.pull, [&](const Leg& one) { return &one == legOut(key); });
+    });
   std::uint64_t via = caches_->send(key, p->ask, how, avoid);
   if (Leg* sent = legOut(key)) sent->via = via;
 }
@@ -194,12 +234,13 @@
   ++*counts[static_cast<int>(ending)];
 }
 
-void Exchange::endLeg(LegKey key, Ending ending, const Word& word, int fellWith) {
+void Exchange::endLeg(LegKey key, Ending ending, const Word& word, int fellWith, bool ours) {
   Pull* p = known(key.pull);
   Leg& leg = p->legs[static_cast<std::size_t>(key.leg)];
   leg.out = false;
   leg.bytes = {};
   loop_.cancel(leg.timer);
+  loop_.cancel(leg.limit);
   count(ending);
   LegEnded e;
   e.pull = key.pull;
@@ -211,6 +252,7 @@
   e.remark = word.remark;
   e.waited = word.waited;
   e.fellWith = fellWith;
+  e.ours = ours;
   e.report = word.report;
   if (!p->asker) ended_.push_back(key.pull);
   tell(std::move(e));
@@ -264,7 +306,23 @@
     ++counters.brokenMidway;
     close(key.pull)->brokeOff();
   }
-  endLeg(key, endingOf(how, writtenWhole), {}, fellWith);
+  endLeg(key, endingOf(how, writtenWhole), {}, fellWith, how == Parting::noDescriptor);
+}
+
+bool Exchange::stillWanted(LegKey key) {
+  Leg* leg = legOut(key);
+  if (!leg) return false;
+  const Pull& p = *known(key.pull);
+  Ms now = loop_.now();
+  return p.asker && p.streaming < 0 && now < p.expiresAt && (leg->notAfter <= 0 || now < leg->notAfter);
+}
+
+void Exchange::lapsed(LegKey key) {
+  if (Leg* leg = legOut(key)) leg->sentAt = loop_.now(), endLeg(key, Ending::moot, {}, 0, true);
+}
+
+void Exchange::moved(LegKey key, std::uint64_t via) {
+  if (Leg* leg = legOut(key)) leg->via = via;
 }
 
 void Exchange::probeEnded(std::uint32_t cache, bool answered, Ms took, std::vector<float> report) {
@@ -315,7 +373,24 @@
     caches_->list(news.entries.back(), one.id, one.at);
   }
   listed_ |= whole;
+  // What was meant for, or to be filled from, a machine that may be asked no more, and still waits here, is decided anew: told
+  // between the choice and the writing, a drain binds it too.
+  std::vector<std::uint32_t> closed;
+  for (const ListEntry& one : news.entries)
+    if (one.standing != Standing::ready) closed.push_back(one.cache);
+  if (whole)
+    for (auto& [id, known] : numbers_)
+      if (known.goneAt > 0) closed.push_back(known.number);
+  auto shut = [&](std::uint32_t machine) { return std::find(closed.begin(), closed.end(), machine) != closed.end(); };
   tell(std::move(news));
+  if (!closed.empty()) takeBackAll([&](const Pull&, const Leg& leg) { return shut(leg.cache) || shut(leg.source); });
+}
+
+// An attempt that waits here names an age worked out before the purge: it is decided anew.
+void Exchange::takeBackPurged(std::string_view object, int group, int offering) {
+  takeBackAll([&](const Pull& p, const Leg&) {
+    return offering >= 0 ? p.ask.offeringAt == offering : object.empty() ? p.ask.group == group : p.ask.object == object;
+  });
 }
 
 void Exchange::recallCame(std::string_view object, int group, int offering, bool lifted, Ms ago) {
@@ -324,11 +399,18 @@
   p.wholeGroup = object.empty() && offering < 0, p.object = object.empty() ? 0 : hashed(object), p.group = group;
   p.ago = ago, p.standing = true, p.lifted = lifted, p.offering = offering;
   tell(p);
+  if (!lifted) takeBackPurged(object, group, offering);
+}
+
+void Exchange::noOlder(Ms than) {
+  tell(NoOlder{than});
+  if (than > 0) takeBackAll([](const Pull&, const Leg&) { return true; });
 }
 
 void Exchange::purgeCame(bool wholeGroup, std::string_view object, int group, Ms at) {
   ++counters.purges;
   tell(Purged{wholeGroup, wholeGroup ? 0 : hashed(object), group, loop_.now() - at});
+  takeBackPurged(wholeGroup ? std::string_view{} : object, group, -1);
 }
 
 }  // namespace dunlinwick::exchange
--- a/src/exchange/exchange.hpp
+++ b/src/exchange/exchange.hpp
@@ -65,6 +65,8 @@
   virtual std::uint64_t send(LegKey key, const Ask& ask, const SendLeg& how,
                              const std::vector<std::uint64_t>& avoid) = 0;
   virtual void giveUp(LegKey key, const Ask& ask, std::uint32_t cache) = 0;
+  // Takes back an attempt of which not a byte has left this process. False: it may have left, and stays.
+  virtual bool takeBack(LegKey key, const Ask& ask, std::uint32_t cache) = 0;
   virtual void probe(std::uint32_t cache) = 0;
   virtual void list(const ListEntry& entry, const std::string& id, const loop::Address& at) = 0;
   virtual void forget(std::uint32_t cache) = 0;  // it left long ago
@@ -107,6 +109,11 @@
   // `fellWith`: legs told before it that fell with the same connection.
   void legLost(LegKey key, loop::Parting how, bool writtenWhole, int fellWith = 0);
   void probeEnded(std::uint32_t cache, bool answered, Ms took, std::vector<float> report);
+  // Asked in the moment before the first byte of an attempt that waited: is its client there, its deadline ahead, and would a
+  // repeat still be known as one?
+  bool stillWanted(LegKey key);
+  void lapsed(LegKey key);                      // it was not: nothing of it has left
+  void moved(LegKey key, std::uint64_t via);  // it waited on a connection that ended, and waits on another
 
   // from the notice board
   void listCame(bool whole, const std::vector<Listed>& entries);
@@ -116,7 +123,7 @@
   void sharesCame(std::vector<double> byZone) { tell(ZoneShares{std::move(byZone)}); }
   // from the fleet's record and its recovery
   void recallCame(std::string_view object, int group, int offering, bool lifted, Ms ago);
-  void noOlder(Ms than) { tell(NoOlder{than}); }
+  void noOlder(Ms than);
   // The rules are another sheet's from now on: new pulls go by its offerings, and what decides is called at once. Which of them are
   // never kept, or stream, holds for the life of a process: a pull under way must not be another kind of pull.
   void turned(const StoreSheet& sheet) { offerings_ = sheet.offerings, tell(PeerSaid{}); }
@@ -126,9 +133,10 @@
   struct Leg {
     std::uint32_t cache = 0;
     std::uint64_t via = 0;
-    Ms sentAt = 0;
+    std::uint32_t source = 0;
+    Ms sentAt = 0, notAfter = 0;
     bool out = true;
-    std::uint64_t timer = 0;  // of its patience
+    std::uint64_t timer = 0, limit = 0;  // of its patience; of notAfter
     std::string bytes;
   };
   struct Pull {
@@ -153,7 +161,14 @@
   void act(const TellHealth&) {}  // heard where the module is wrapped (src/front/front.cpp)
   Pull* known(std::uint32_t pull);
   Leg* legOut(LegKey key);
-  void endLeg(LegKey key, Ending ending, const Word& word = {}, int fellWith = 0);
+  void endLeg(LegKey key, Ending ending, const Word& word = {}, int fellWith = 0, bool ours = false);
+  // Ends those attempts of a request that still wait here; `which` says of each whether it is meant.
+  template <class Which>
+  void takeBack(std::uint32_t pull, Which which);
+  template <class Which>
+  void takeBackAll(Which which);
+  void takeBackPurged(std::string_view object, int group, int offering);
+  void settle(std::uint32_t pull);
   void count(Ending ending);
   struct Known {
     std::uint32_t number = 0;
--- a/src/logic.hpp
+++ b/src/logic.hpp
@@ -111,6 +111,7 @@
   Remark remark = Remark::none;
   Ms waited = 0;     // until the first byte of a fill came, or it failed
   int fellWith = 0;  // legs told before it that ended with the same connection
+  bool ours = false;  // for want of something of this front's own, such as a descriptor: no sign of the machine
   std::vector<float> report;
 };
 struct ClientLeft {
@@ -166,6 +167,7 @@
   Ms oldest = 0;        // 0: as old as the offering allows
   Ms patience = 0;      // 0: till the client quits
   bool proven = false;  // only over a connection that has just shown that it carries
+  Ms notAfter = 0;      // from then on it might take effect a second time: not begun any more, it ends as moot; 0: no limit
 };
 struct CancelLeg {
   std::uint32_t pull = 0;
--- a/src/logic/choice.hpp
+++ b/src/logic/choice.hpp
@@ -86,6 +86,13 @@
     return true;
   }
 
+  // Until when a further leg is known as a repeat of those before it, wherever it waits; 0: it repeats none.
+  Ms repeatsKnownTill(const Pull& p) const {
+    if (p.ware->effect != Effect::ticketed) return 0;
+    auto first = std::find_if(p.legs.begin(), p.legs.end(), [](const Leg& leg) { return !leg.neverRan; });
+    return first == p.legs.end() ? 0 : first->sentAt + p.ware->memory;  // in the order of their sending
+  }
+
   // The fleet's verdict says which share of pulls goes to which zone: objects by hash, the same at all fronts
   // of a zone. Guards against a zone whose caches are lost to all its fronts. Harm: misses abroad until kept
   // there. A ticket known to one zone stays: a client's repeat, after the shares moved, would run twice.
--- a/src/logic/legs.hpp
+++ b/src/logic/legs.hpp
@@ -44,6 +44,7 @@
     a.heldOnly = p.spared = leg.held;
     // What may run once is lost with a connection that broke unseen while idle. Harm: one more way there.
     a.proven = p.ware->effect == Effect::exclusive && f.may.probe;
+    a.notAfter = choice.repeatsKnownTill(p);
     a.rank = p.rank, a.oldest = memories.purges.oldest(p);
     a.patience = std::max(1.0, p.expiresAt - now);
     act(a);
@@ -183,9 +184,10 @@
       leg.at->fullUntil = now + second / 20;  // its queue needs a moment
       p.failed.push_back(leg.at);
     } else if (e.ending != Ending::cancelled && e.ending != Ending::moot && e.fellWith == 0) {
+      p.failed.push_back(leg.at);
+      if (e.ours) return;  // a descriptor was wanting here: it tells nothing of the machine
       leg.at->mayBeNew |= e.ending == Ending::noConnection || (leg.at->aside && e.ending == Ending::broken);
       if (!(leg.erred = e.ending == Ending::error)) choice.health.strike(*leg.at);
-      p.failed.push_back(leg.at);
     }
   }
 };
--- a/src/loop/loop.cpp
+++ b/src/loop/loop.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace dunlinwick::loop {
 
@@ -63,10 +64,13 @@
   if (!timers_.empty()) longest = std::min(longest, timers_.begin()->first.first - start);
   if (left) longest = std::min(longest, lookedAtAll_ + patience - start);
   int count = ground_.wait(polled, static_cast<int>(std::ceil(std::max(0.0, longest))));
-  if (count > 0)
-    for (std::size_t i = 0; i < polled.size(); ++i) {
+  // The patient ones first: what shows there is a client that leaves, and whatever else came with it must not begin a thing for it
+  // any more. Harm without: after a standstill of this process, an attempt begun as long after its client left.
+  for (bool patient : {true, false})
+    for (std::size_t i = 0; count > 0 && i < polled.size(); ++i) {
       const Watch& w = byFd_[static_cast<std::size_t>(polled[i].fd)];
-      if (polled[i].revents != 0 && w.handler && w.since == since[i]) w.handler->ready(polled[i].revents);
+      if (polled[i].revents == 0 || !w.handler || w.since != since[i] || (patient && !w.patient)) continue;
+      w.handler->ready(std::exchange(polled[i].revents, 0));
     }
   runTimers();
   buried_.clear();
--- a/tests/caches_test.cpp
+++ b/tests/caches_test.cpp
@@ -29,6 +29,7 @@
     return 1;
   }
   void giveUp(LegKey, const Ask&, std::uint32_t) override {}
+  bool takeBack(LegKey, const Ask&, std::uint32_t) override { return false; }
   void probe(std::uint32_t) override {}
   void list(const ListEntry& e, const std::string&, const loop::Address&) override { number = e.cache; }
   void forget(std::uint32_t) override {}
--- a/tests/sides.hpp
+++ b/tests/sides.hpp
@@ -53,6 +53,12 @@
     return sent.size();
   }
   void giveUp(LegKey key, const Ask&, std::uint32_t) override { givenUp.push_back(key); }
+  bool waiting = false;  // nothing has left yet
+  std::vector<LegKey> takenBack;
+  bool takeBack(LegKey key, const Ask&, std::uint32_t) override {
+    if (waiting) takenBack.push_back(key);
+    return waiting;
+  }
   void probe(std::uint32_t) override {}
   void list(const ListEntry&, const std::string&, const loop::Address&) override {}
   std::vector<std::uint32_t> forgotten;
