List: numbers beyond any use and control characters in an id make a line that can't be read

Seen by a trial on the old reader: started_ms 1e300 (the machine would stay cold for good, since a later start never undoes a greater one), weight 1e300, a purge at 1e300 ms (kept for ever), collection 1e300 beside an asset (a cast beyond int, undefined) and ids with a tab or byte 0, which go on the caches' lines, were all taken. Ruled out: wrong kinds, half lists, names twice, deep nesting, NaN: refused before. Negative and odd weights, missing zones and kinds stay borne. Before: wire_test.cpp:168 noticesAreRead: Assertion `!read(bad)' failed. After: passed, also under sanitizers.

--- a/src/board/notices.cpp
+++ b/src/board/notices.cpp
@@ -9,6 +9,9 @@
 using json::Kind;
 using json::Value;
 
+// Beyond these a number is a fault: in arithmetic with times or levels it would put out all others, for good.
+constexpr double latest = 1e15, heaviest = 1e9;  // a Unix millisecond; a machine's weight
+
 // Of a place that the settings do not name; beyond all of theirs.
 constexpr int unnamed = 65535;
 
@@ -22,13 +25,15 @@
   auto at = loop::readAddress(v.word("addr"));
   out.id = v.word("id");
   // The id goes on the caches' lines as a field's value.
-  if (!at || out.id.empty() || out.id.find_first_of(" ,\r\n") != out.id.npos) return false;
+  auto spoils = [](unsigned char c) { return c <= ' ' || c == ',' || c == 0x7f; };
+  if (!at || out.id.empty() || std::any_of(out.id.begin(), out.id.end(), spoils)) return false;
   out.at = *at;
   out.entry.zone = placeOf(v.word("zone"), terms.zones);
   out.entry.kind = placeOf(v.word("kind"), terms.kinds);
   out.entry.cell = static_cast<int>(std::clamp(v.number("cell").value_or(0), 0.0, 65535.0));
   out.entry.weight = v.number("weight").value_or(1);
   out.entry.startedAt = v.number("started_ms").value_or(0);
+  if (std::abs(out.entry.weight) > heaviest || std::abs(out.entry.startedAt) > latest) return false;
   if (state == "in_service") out.entry.standing = Standing::ready;
   else if (state == "terminating") out.entry.standing = Standing::draining;
   else if (state == "terminated") out.entry.standing = Standing::gone;
@@ -58,7 +63,8 @@
     n.purge = true;
     n.object = flush->word("asset");
     n.wholeGroup = n.object.empty();
-    if (!at || (n.wholeGroup && !(group && *group >= 0 && *group <= 65535))) return std::nullopt;
+    if (!at || std::abs(*at) > latest || (n.wholeGroup && !group)) return std::nullopt;
+    if (group && !(*group >= 0 && *group <= 65535)) return std::nullopt;
     n.group = static_cast<int>(group.value_or(0));
     n.at = *at;
   }
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -161,8 +161,20 @@
         "{\"rev\":1,\"pool\":{\"servers\":[{\"id\":\"s "
         "1\",\"addr\":\"127.0.0.1:1\",\"state\":\"in_service\"}]}}",
         "{\"rev\":1,\"pool\":{\"servers\":[{\"id\":\"s\",\"addr\":\"127.0.0.1:1\",\"state\":\"odd\"}]}}",
-        "{\"rev\":1,\"flush\":{\"asset\":\"a\"}}", "{\"rev\":1,\"flush\":{\"ms\":1}}"})
+        "{\"rev\":1,\"flush\":{\"asset\":\"a\"}}", "{\"rev\":1,\"flush\":{\"ms\":1}}",
+        "{\"rev\":1,\"flush\":{\"asset\":\"a\",\"ms\":1e300}}", "{\"rev\":1,\"flush\":{\"asset\":\"a\",\"ms\":-1e16}}",
+        "{\"rev\":1,\"flush\":{\"asset\":\"a\",\"collection\":1e300,\"ms\":1}}",
+        "{\"rev\":1,\"flush\":{\"collection\":-1,\"ms\":1}}", "{\"rev\":1,\"flush\":{\"collection\":65536,\"ms\":1}}"})
     assert(!read(bad));
+  auto entry = [&](const std::string& id, const std::string& more) {
+    return read(("{\"rev\":1,\"pool\":{\"servers\":[{\"id\":\"" + id + "\",\"addr\":\"127.0.0.1:1\",\"state\":\"in_service\"" + more +
+                 "}]}}")
+                    .c_str());
+  };
+  assert(entry("s-1", "") && entry("s-1", ",\"weight\":-1,\"started_ms\":-1,\"cell\":1e300,\"zone\":7"));
+  for (const char* bad : {",\"weight\":1e300", ",\"weight\":-1e300", ",\"started_ms\":1e300", ",\"started_ms\":-1e300"})
+    assert(!entry("s-1", bad));
+  for (const char* bad : {"", "s,1", "s\\r1", "s\\n1", "s\\t1", "s\\u00001", "s\\u007f1"}) assert(!entry(bad, ""));
 }
 
 static void endsMeanWhatTheyProve() {
