--- a/tests/board_test.cpp
+++ b/tests/board_test.cpp
@@ -374,7 +374,8 @@
 
 void movedWithAnEventUnreadOrInTheEndingWrite() {
   for (bool before : {false, true})
-    for (const std::string& last : {purge(2), purge(2).substr(0, 20), purge(2) + "junk\n", purge(2) + purge(9), purge(2) + "close"}) {
+    for (const std::string& last :
+         {purge(2), purge(2).substr(0, 20), purge(2) + "junk\n", purge(2) + purge(9), purge(2) + "close"}) {
       Watch w(false);
       FarListener other;
       std::optional<InTurn> hook;
@@ -483,9 +484,11 @@
       "1e0", "18446744073709551616", std::string(40, '[') + std::string(40, ']'), std::string(100000, '['),
       "{\"rev\":2,\"EVIL\":" + std::string(500, '[') + std::string(500, ']') + "}", std::string("\xef\xbb\xbf{\"rev\":2}"),
       std::string("{\"rev\":2}\0EVIL", 14), "\x1b[31mEVIL\xff\xfe", "{\"rev\":2,\"EVIL\":\"\xff\"}",
-      "{\"rev\":2,\"pool\":{}}", "{\"rev\":2,\"pool\":[]}", "{\"rev\":2,\"pool\":{\"servers\":{}}}", entry("7"), entry("{}"), entry("null"),
-      entry(server("")), entry(server("s EVIL")), entry(server("s,EVIL")), entry(server("s\\r\\nEVIL")), entry(server("s\\u0000EVIL")),
-      entry(server("s\\tEVIL")), entry(server("s-EVIL", "EVIL")), entry("{\"id\":\"s-EVIL\",\"addr\":\"127.0.0.1\",\"state\":\"in_service\"}"),
+      "{\"rev\":2,\"pool\":{}}", "{\"rev\":2,\"pool\":[]}",
+      "{\"rev\":2,\"pool\":{\"servers\":{}}}", entry("7"), entry("{}"), entry("null"),
+      entry(server("")), entry(server("s EVIL")), entry(server("s,EVIL")), entry(server("s\\r\\nEVIL")),
+      entry(server("s\\u0000EVIL")), entry(server("s\\tEVIL")), entry(server("s-EVIL", "EVIL")),
+      entry("{\"id\":\"s-EVIL\",\"addr\":\"127.0.0.1\",\"state\":\"in_service\"}"),
       entry("{\"id\":\"s-EVIL\",\"addr\":\"127.0.0.1:0\",\"state\":\"in_service\"}"),
       entry("{\"id\":\"s-EVIL\",\"addr\":\"127.0.0.1:65536\",\"state\":\"in_service\"}"),
       entry("{\"id\":\"s-EVIL\",\"addr\":\"EVIL:80\",\"state\":\"in_service\"}"), field(",\"weight\":1e300"),
