Clients: no request of one who left, no close over unread bytes, a stop takes its backlog

Change: take() asks peerDone; done() reads on after the next poll; letGo() shuts, reads on (1 s, in a stop 0.2 s) and discards; lingering ones have a bound of their own, the longest is closed outright; room is made after the next poll; leave() drains the backlog, and lets go only those a poll has shown; half a request gets 503.

--- a/src/clients/clients.cpp
+++ b/src/clients/clients.cpp
@@ -23,7 +23,10 @@
 constexpr Ms slowestRequest = 2.5 * second;
 // For an answer to be taken: no pull lasts as long, and a dead peer must go.
 constexpr Ms slowestAnswer = 15 * second;
-constexpr Ms lingerFor = second;  // reads on after a refusal, so that a reset does not overtake it
+// After the last word is said it reads on for so long, or until the peer's end, and discards. Harm without: a close over unread
+// bytes resets the connection, and takes with it the answer that still lies in the system's buffers. In a stop shorter, since the
+// exit has a bound; a request that crosses a close of ours does so within 50 ms.
+constexpr Ms lingerFor = second, lingerInStop = 200;
 
 // Digits and a fraction at most: no sign, no exponent, no words.
 std::optional<double> number(std::string_view text, double low, double high) {
@@ -66,19 +69,36 @@
       : all_(all), number_(number), connection_(all.loop_, *this, std::move(fd)), since_(all.loop_.now()) {}
 
   bool idle() const { return !open_ && !closing_ && connection_.in.size() == 0 && connection_.drainedOut(); }
-  // Half a request is none: its client is told by the close, and nothing was taken.
-  bool mayGo() const { return !open_ && !closing_ && connection_.drainedOut(); }
   Ms since() const { return since_; }
 
-  // Closes it where it has been idle, half read, or not been taking its answer for too long.
+  // Ends it where it has been idle, half read, or not been taking its answer for too long.
   void sweep(Ms now) {
-    if (open_) return;
-    Ms limit = closing_ ? lingerFor : idle() && said_ ? idleFor : slowestRequest;
+    if (open_ || connection_.isOver()) return;
+    if (lingers_) return now - since_ < lingerFor ? void() : drop();
+    Ms limit = idle() && said_ ? idleFor : slowestRequest;
     if (!connection_.drainedOut()) limit = slowestAnswer;
     if (now - since_ < limit) return;
-    if (!idle() && !closing_ && connection_.drainedOut()) return refuse(408);
-    drop();
+    if (!connection_.drainedOut()) return drop();  // it takes nothing: there is no word left that could reach it
+    if (idle()) return letGo();
+    refuse(408);
   }
+  // In a stop: what is open gets its answer first, half a request its refusal, which is harmless to repeat.
+  void leave(Ms now) {
+    if (connection_.isOver()) return;
+    if (lingers_) return now - since_ < lingerInStop ? void() : drop();
+    readOn();
+    if (open_ || closing_ || !connection_.drainedOut()) return;
+    if (connection_.in.size() == 0) return letGo();
+    connection_.in.release();
+    answer(503, {}, {});
+  }
+  // Ends it from here, with nothing open: no request that is read from now on is sent on.
+  void letGo() {
+    closing_ = true;
+    connection_.in.release();
+    linger();
+  }
+  // Closes it outright.
   void drop() {
     connection_.close();
     all_.gone(number_);
@@ -87,7 +107,7 @@
   void came() override { readOn(); }
   void drained() override {
     since_ = all_.loop_.now();
-    if (closing_) return connection_.sayNoMore();
+    if (closing_) return linger();
     readOn();
   }
   void ended(Parting) override {
@@ -119,21 +139,28 @@
     connection_.bePatient(false);
     closing_ = true;
     since_ = all_.loop_.now();
-    if (connection_.drainedOut()) connection_.sayNoMore();
+    if (connection_.drainedOut()) linger();
   }
 
  private:
+  void linger() {
+    if (std::exchange(lingers_, true)) return;
+    since_ = all_.loop_.now();
+    connection_.sayNoMore();
+    all_.lingers(number_);
+  }
   bool stays() const { return keepAlive_ && !all_.leaving_; }
   void done() {
     open_ = false;
     connection_.bePatient(false);
     since_ = all_.loop_.now();
     if (!stays()) closing_ = true;
-    if (closing_ && connection_.drainedOut()) connection_.sayNoMore();
+    if (closing_ && connection_.drainedOut()) linger();
     if (!closing_) all_.spare();
-    // What waits in the buffer is read after this turn's call, not from within an answer.
+    // What waits in the buffer is read not from within an answer, but after the next poll, which shows whether the client is
+    // still there: it was watched patiently. Harm without: a request is sent on for somebody seen to have left.
     if (!closing_ && !reading_ && connection_.in.size() > 0)
-      all_.loop_.at(since_, [&all = all_, number = number_] {
+      all_.afterNextPoll([&all = all_, number = number_] {
         if (auto at = all.open_.find(number); at != all.open_.end()) at->second->readOn();
       });
   }
@@ -185,6 +212,8 @@
     }
     Ask ask;
     if (int status = readAsk(r, ask); status != 0) return refuse(status);
+    // Its client left with its last words: no answer is owed, and an attempt begun long after it left breaks a rule.
+    if (connection_.peerDone()) return letGo();
     open_ = true;
     connection_.bePatient(true);
     std::uint32_t pull = all_.exchange_.pullCame(std::move(ask), *this);
@@ -238,6 +267,7 @@
   loop::Connection connection_;
   bool open_ = false;     // a pull is owed its answer
   bool closing_ = false;  // said all: what goes out is the last
+  bool lingers_ = false;  // that is out, and the way out is shut
   bool keepAlive_ = true, reading_ = false, continued_ = false, lastEmpty_ = true;
   bool said_ = false;  // a whole request has come
   std::uint32_t pull_ = 0;
@@ -245,24 +275,38 @@
 };
 
 Clients::Clients(loop::Loop& loop, exchange::Exchange& exchange, const std::vector<std::string>& offerings,
-                 std::vector<bool> written, const loop::Address& at, std::size_t most)
+                 std::vector<bool> written, const loop::Address& at, std::size_t most, std::size_t mostLingering)
     : loop_(loop),
       exchange_(exchange),
       offerings_(offerings),
       written_(std::move(written)),
       most_(most),
+      mostLingering_(std::max<std::size_t>(1, mostLingering)),
       listener_(loop, at, [this](loop::Descriptor fd) { taken(std::move(fd)); }) {
   sweep();
 }
 
 Clients::~Clients() { loop_.cancel(sweep_); }
 
+// A timer set by a timer runs in the next turn, after its poll.
+void Clients::afterNextPoll(std::function<void()> what) {
+  loop_.at(loop_.now(), [&loop = loop_, what = std::move(what)] { loop.at(loop.now(), what); });
+}
+
 void Clients::taken(loop::Descriptor fd) {
   ++exchange_.counters.clientConnections;
   std::uint64_t number = ++last_;
   open_[number] = std::make_shared<Client>(*this, number, std::move(fd));
-  // Beyond the limit the longest idle one makes room; if none is, new ones wait in the backlog until one is.
-  if (open_.size() > most_ && !dropIdle()) listener_.pause();
+  if (leaving_ || live() <= most_) return;
+  // Beyond the limit the longest idle one makes room; if none is, new ones wait in the backlog until one is. Who is idle shows
+  // after the next poll: those just accepted have a request in their buffer that nobody has looked at.
+  listener_.pause();
+  if (!std::exchange(makingRoom_, true)) afterNextPoll([this] { makeRoom(); });
+}
+
+void Clients::makeRoom() {
+  makingRoom_ = false;
+  if (!leaving_ && (live() <= most_ || dropIdle())) listener_.resume();
 }
 
 bool Clients::dropIdle() {
@@ -270,13 +314,20 @@
   for (auto& [number, client] : open_)
     if (number != last_ && client->idle() && (!longest || client->since() < longest->since()))
       longest = client.get();
-  if (longest) longest->drop();
+  if (longest) longest->letGo();
   return longest != nullptr;
 }
 
 // One has nothing open any more: where new ones wait, it may make room.
 void Clients::spare() {
-  if (!leaving_ && open_.size() > most_) listener_.resume();
+  if (!leaving_ && !makingRoom_ && live() > most_) listener_.resume();
+}
+
+// Those that linger take no place of a live one, and have a bound of their own: the longest makes room.
+void Clients::lingers(std::uint64_t number) {
+  lingering_.push_back(number);
+  if (lingering_.size() > mostLingering_) open_.at(lingering_.front())->drop();
+  if (!leaving_ && !makingRoom_) listener_.resume();
 }
 
 void Clients::gone(std::uint64_t number) {
@@ -284,24 +335,34 @@
   if (at == open_.end()) return;
   loop_.bury(std::move(at->second));
   open_.erase(at);
-  if (!leaving_) listener_.resume();
+  bool wasLive = std::erase(lingering_, number) == 0;
+  if (wasLive && !leaving_ && !makingRoom_) listener_.resume();
 }
 
 void Clients::sweep() {
   Ms now = loop_.now();
-  exchange_.counters.shortOfDescriptors += std::exchange(listener_.shortOfDescriptors, 0);
   std::vector<std::shared_ptr<Client>> all;
   for (auto& [number, client] : open_) all.push_back(client);
   for (auto& client : all) client->sweep(now);
+  // The process is out of descriptors before the places are: one is given back for those who wait.
+  if (auto times = std::exchange(listener_.shortOfDescriptors, 0); times > 0) {
+    exchange_.counters.shortOfDescriptors += times;
+    if (!lingering_.empty()) open_.at(lingering_.front())->drop();
+    else dropIdle();
+  }
   sweep_ = loop_.at(now + second / 4, [this] { sweep(); });
 }
 
 void Clients::leave() {
-  if (!std::exchange(leaving_, true)) listener_.close();
+  leaving_ = true;
+  // All who wait are accepted first, also beyond the limit. Harm without: the listener's close resets them.
+  if (listener_.drain()) listener_.close();
+  // Only those that were here at the last call: a poll since then has shown what had come from them, and it was read.
   std::vector<std::shared_ptr<Client>> all;
-  for (auto& [number, client] : open_) all.push_back(client);
-  for (auto& client : all)
-    if (client->mayGo()) client->drop();
+  for (auto& [number, client] : open_)
+    if (number <= known_) all.push_back(client);
+  known_ = last_;
+  for (auto& client : all) client->leave(loop_.now());
 }
 
 }  // namespace dunlinwick::clients
--- a/src/clients/clients.hpp
+++ b/src/clients/clients.hpp
@@ -1,5 +1,7 @@
 // The clients' side: accepts their connections, turns requests into pulls and answers them.
 #pragma once
+#include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 
@@ -11,11 +13,13 @@
 
 class Clients {
  public:
-  // Throws std::system_error where the address can't be had. `most`: connections at once, but for one.
+  // Throws std::system_error where the address can't be had. `most`: connections at once, but for one. Beside them so many linger:
+  // ended from here, and read until the other side's end.
   Clients(loop::Loop& loop, exchange::Exchange& exchange, const std::vector<std::string>& offerings,
-          std::vector<bool> written, const loop::Address& at, std::size_t most);
+          std::vector<bool> written, const loop::Address& at, std::size_t most, std::size_t mostLingering = 8);
   ~Clients();
-  // From now on none is accepted, answers close their connection and those with nothing open go.
+  // Called again and again, with a turn of the loop between: those who wait are accepted, then none is, answers close their
+  // connection, and those with nothing open that were here at the call before go.
   void leave();
   void wind() { winding_ = true; }  // a stop is coming: /alive says so
   bool empty() const { return open_.empty(); }
@@ -25,7 +29,11 @@
   friend class Client;
   void taken(loop::Descriptor fd);
   void gone(std::uint64_t number);
+  void lingers(std::uint64_t number);
+  std::size_t live() const { return open_.size() - lingering_.size(); }
+  void afterNextPoll(std::function<void()> what);
   void spare();
+  void makeRoom();
   bool dropIdle();
   void sweep();
 
@@ -33,9 +41,11 @@
   exchange::Exchange& exchange_;
   std::vector<std::string> offerings_;
   std::vector<bool> written_;  // by offering: its pulls write
-  std::size_t most_;
-  bool winding_ = false, leaving_ = false;
-  std::uint64_t last_ = 0, sweep_ = 0;
+  std::size_t most_, mostLingering_;
+  bool winding_ = false, leaving_ = false, makingRoom_ = false;
+  std::uint64_t last_ = 0, known_ = 0;   // the last one accepted; in a stop, the last one that a poll has shown
+  std::uint64_t sweep_ = 0;
+  std::deque<std::uint64_t> lingering_;  // the longest first; emptied as they end
   std::map<std::uint64_t, std::shared_ptr<Client>> open_;  // emptied as they end
   loop::Listener listener_;
 };
--- a/src/loop/listener.cpp
+++ b/src/loop/listener.cpp
@@ -23,6 +23,13 @@
   if (fd_) loop_.watch(fd_.get(), *this, POLLIN);
 }
 
+bool Listener::drain() {
+  unsigned long before = shortOfDescriptors;
+  while (fd_ && acceptOne()) {
+  }
+  return shortOfDescriptors == before;
+}
+
 void Listener::close() {
   loop_.cancel(again_);
   loop_.forget(fd_.get());
--- a/src/loop/listener.hpp
+++ b/src/loop/listener.hpp
@@ -13,6 +13,8 @@
   ~Listener() { close(); }
   void pause();  // accepts no more; those who come wait in the backlog
   void resume();
+  // Accepts all who wait, paused or not. False: out of descriptors, some still do.
+  bool drain();
   void close();
   unsigned long shortOfDescriptors = 0;
 
--- a/tests/clients_test.cpp
+++ b/tests/clients_test.cpp
@@ -24,6 +24,10 @@
   void hear(Far& f, std::string_view text) {
     until(d.loop, [&] { return f.hears(text); });
   }
+  // Turns on until all have gone that a stop lets go.
+  void leave() {
+    until(d.loop, [&] { return clients.leave(), clients.empty(); });
+  }
   LegKey leg(std::size_t which) {
     until(d.loop, [&] { return d.caches.sent.size() > which; });
     return d.caches.sent[which].key;
@@ -35,6 +39,49 @@
   }
 };
 
+// Does something in the middle of a turn: after its poll, before its timers.
+struct Meanwhile final : loop::Handler {
+  loop::Loop& loop;
+  std::function<void()> what;
+  int ends[2];
+  Meanwhile(loop::Loop& l, std::function<void()> w) : loop(l), what(std::move(w)) {
+    assert(::pipe(ends) == 0 && ::write(ends[1], "x", 1) == 1);
+    loop.watch(ends[0], *this, POLLIN);
+    until(loop, [&] { return !what; });
+  }
+  ~Meanwhile() {
+    loop.forget(ends[0]);
+    ::close(ends[0]), ::close(ends[1]);
+  }
+  void ready(short) override {
+    if (what) std::exchange(what, nullptr)();
+  }
+};
+
+short showsOf(Far& f) {
+  pollfd one{f.fd.get(), POLLRDHUP, 0};
+  ::poll(&one, 1, 0);
+  return one.revents;
+}
+bool toldTheEnd(Far& f) { return showsOf(f) & POLLRDHUP; }
+bool isReset(Far& f) { return showsOf(f) & POLLERR; }
+
+// A client that takes slowly: when all its answer has left the front, most of it lies in the system's buffers.
+struct Slow {
+  Far far{loop::Descriptor(::socket(AF_INET, SOCK_STREAM, 0))};
+  std::string body = std::string(200000, 'x');
+  Slow(Counter& c) {
+    int small = 1 << 12;
+    ::setsockopt(far.fd.get(), SOL_SOCKET, SO_RCVBUF, &small, sizeof small);
+    assert(::connect(far.fd.get(), reinterpret_cast<const sockaddr*>(&c.at), sizeof c.at) == 0);
+    ::fcntl(far.fd.get(), F_SETFL, O_NONBLOCK);
+    far.say(getAs(1));
+    c.finish(c.leg(0), said(Ending::finished), body);
+    for (int i = 0; i < 3; ++i) c.d.loop.turn(0);
+  }
+  bool hasAll() { return far.read(1000).ends_with("\r\n\r\n" + body); }
+};
+
 void clientsAreAnswered() {
   Counter c;
   Far f = c.come();
@@ -151,6 +198,177 @@
   }
 }
 
+// The close was there before the request was looked at: nothing is owed, and an attempt would begin after its client left.
+void aRequestThatCameWithItsCloseIsNotSentOn() {
+  std::string big = "PUT /ops/write/7f3a?part=0 HTTP/1.1\r\nX-Request-Id: " + id +
+                    "\r\nX-Timeout-Ms: 60000\r\nX-Group: 17\r\nContent-Length: 48000\r\n\r\n" + std::string(48000, 'p');
+  for (const std::string& request : {get(), big, getAs(1) + getAs(2)})
+    for (bool accepted : {false, true})
+      for (int how : {0, 1, 2}) {
+        Counter c;
+        Far f = accepted ? c.come() : Far::to(c.at);
+        f.say(request);
+        if (how == 0) f.fd.reset();
+        else if (how == 1) f.reset();
+        else ::shutdown(f.fd.get(), SHUT_WR);
+        until(c.d.loop, [&] { return c.d.exchange.counters.clientConnections == 1 && c.clients.empty(); });
+        assert(c.d.caches.sent.empty());
+      }
+}
+
+// Its client goes as the first is answered, in one turn: the next poll shows that, and the second is not sent on.
+void aSecondRequestIsNotSentOnWhenItsClientHasLeft() {
+  Counter c;
+  Far f = c.come();
+  f.say(getAs(1) + getAs(2));
+  LegKey key = c.leg(0);
+  Meanwhile now(c.d.loop, [&] {
+    f.fd.reset();
+    c.finish(key, said(Ending::finished), "ok");
+  });
+  until(c.d.loop, [&] { return c.clients.empty(); });
+  assert(c.d.caches.sent.size() == 1);
+}
+
+// A request on a resting connection comes after the poll of the turn that ends it: a close would be a reset, and take the last
+// answer with it. What is read after the shutdown is not sent on.
+void aRequestThatCrossesTheSweepTakesNoAnswerWithIt() {
+  Counter c;
+  Slow slow(c);
+  c.d.loop.skip(20000);
+  Meanwhile now(c.d.loop, [&] { slow.far.say(getAs(2)); });
+  until(c.d.loop, [&] { return slow.hasAll(); });
+  until(c.d.loop, [&] { return slow.far.read(), slow.far.over; });
+  assert(!isReset(slow.far) && c.d.caches.sent.size() == 1);
+  slow.far.fd.reset();
+  until(c.d.loop, [&] { return c.clients.empty(); });
+}
+
+// The same where room is made for a newcomer. Here the request was there first: it is read, and its client has no longer rested.
+void aRequestThatComesAsRoomIsMadeIsServed() {
+  Counter c(1);
+  Slow slow(c);
+  slow.far.say(getAs(2));
+  Far other = Far::to(c.at);
+  c.leg(1);
+  until(c.d.loop, [&] { return slow.hasAll(); });
+  c.finish(c.leg(1), said(Ending::finished), "second");
+  until(c.d.loop, [&] { return slow.far.hears("\r\n\r\nsecond"); });
+}
+
+// Many come at once, each with its request: nobody is put out before it was read.
+void whoComesWithARequestIsNotPutOutUnread() {
+  Counter c(3);
+  std::vector<Far> all;
+  for (int i = 0; i < 8; ++i) {
+    all.push_back(Far::to(c.at));
+    all.back().say(getAs(i));
+  }
+  for (std::size_t i = 0; i < all.size(); ++i) {
+    c.finish(c.leg(i), said(Ending::finished), "ok");
+    for (int turns = 0; turns < 5; ++turns) c.d.loop.turn(0);
+  }
+  for (Far& f : all) c.hear(f, "\r\n\r\nok");
+}
+
+// Refused ones that never close: they keep no live client out, and the longest goes where they become too many.
+void whoLingersTakesNoPlace() {
+  Counter c(3);
+  std::vector<Far> bad, good;
+  for (int i = 0; i < 12; ++i) {
+    bad.push_back(c.come());
+    bad.back().say("\x16\x03\x01");
+    c.hear(bad.back(), "HTTP/1.1 400");
+  }
+  for (int i = 0; i < 3; ++i) {
+    good.push_back(Far::to(c.at));
+    good.back().say(getAs(i));
+  }
+  for (int turns = 0; turns < 50; ++turns) c.d.loop.turn(0);
+  assert(c.d.caches.sent.size() == 3);
+  bad[0].say("x");
+  until(c.d.loop, [&] { return isReset(bad[0]); });  // closed outright
+  c.d.loop.skip(2000);
+  for (Far& f : bad) until(c.d.loop, [&] { return f.read(), f.over; });
+}
+
+// ---- a stop
+
+void theBacklogIsAnsweredInAStop() {
+  enum { waiting, paused, resting };
+  for (int listener : {waiting, paused, resting}) {
+    Counter c(listener == paused ? 1 : 50);
+    std::vector<Far> before, waits;
+    for (int i = 0; listener == paused && i < 2; ++i) {
+      before.push_back(c.come());
+      before.back().say(getAs(i));
+      c.leg(static_cast<std::size_t>(i));
+    }
+    for (int i = 2; i < 5; ++i) waits.push_back(Far::to(c.at));
+    if (listener == resting) {
+      rlimit full{}, none{};
+      ::getrlimit(RLIMIT_NOFILE, &full);
+      none = full;
+      none.rlim_cur = static_cast<rlim_t>(waits.back().fd.get() + 1);
+      ::setrlimit(RLIMIT_NOFILE, &none);
+      c.d.loop.turn(0);
+      ::setrlimit(RLIMIT_NOFILE, &full);
+    }
+    for (int i = 2; i < 5; ++i) waits[static_cast<std::size_t>(i - 2)].say(getAs(i));
+    std::size_t all = before.size() + waits.size();
+    until(c.d.loop, [&] { return c.clients.leave(), c.d.caches.sent.size() == all; });
+    for (std::size_t i = 0; i < all; ++i) c.finish(c.leg(i), said(Ending::finished), "ok");
+    for (Far& f : waits) {
+      c.hear(f, "\r\n\r\nok");
+      assert(f.hears("Connection: close\r\n"));
+      until(c.d.loop, [&] { return f.read(), f.over; });
+    }
+    c.leave();
+  }
+}
+
+// Bytes of it are in the system's buffers as the stop begins: looked at once more, and answered.
+void aRequestThatCrossesTheStopIsAnswered() {
+  Counter c;
+  Far f = c.come();
+  for (int i = 0; i < 3; ++i) c.d.loop.turn(0);
+  f.say(getAs(1));
+  until(c.d.loop, [&] { return c.clients.leave(), c.d.caches.sent.size() == 1; });
+  c.finish(c.leg(0), said(Ending::finished), "ok");
+  c.hear(f, "\r\n\r\nok");
+  assert(f.hears("Connection: close\r\n"));
+  c.leave();
+}
+
+// It comes after the poll of the turn that shuts the connection: the answer before it arrives whole, it is not sent on.
+void aRequestThatCrossesTheShutdownInAStopTakesNoAnswerWithIt() {
+  Counter c;
+  Slow slow(c);
+  c.clients.leave();
+  for (int i = 0; i < 3; ++i) c.d.loop.turn(0);
+  Meanwhile now(c.d.loop, [&] {
+    slow.far.say(getAs(2));
+    c.clients.leave();
+  });
+  until(c.d.loop, [&] { return slow.hasAll(); });
+  until(c.d.loop, [&] { return slow.far.read(), slow.far.over; });
+  assert(!isReset(slow.far) && c.d.caches.sent.size() == 1);
+  c.leave();  // though it never closes
+}
+
+void halfARequestIsRefusedInAStop() {
+  Counter c;
+  Far f = c.come();
+  f.say(get().substr(0, 40));
+  for (int i = 0; i < 3; ++i) c.d.loop.turn(0);
+  until(c.d.loop, [&] { return c.clients.leave(), f.hears("\r\n\r\n"); });
+  assert(f.hears("HTTP/1.1 503 ") && f.hears("Connection: close\r\n"));
+  f.say(get().substr(40));
+  until(c.d.loop, [&] { return f.read(), f.over; });
+  c.leave();
+  assert(c.d.caches.sent.empty() && c.d.exchange.counters.badRequests == 0);
+}
+
 void aBrokenStreamCanBeTold() {
   StoreSheet s = kit::sheet();
   s.offerings[0].streams = true;
@@ -207,7 +425,7 @@
 
 }  // namespace
 
-int main() {
+int main(int count, char** words) {  // all, or the one named
   struct Case {
     const char* name;
     void (*run)();
@@ -217,9 +435,21 @@
                  {"bad requests are refused alone", badRequestsAreRefusedAlone},
                  {"who says nothing goes", whoSaysNothingGoes},
                  {"who closes is owed nothing", whoClosesIsOwedNothing},
+                 {"a request that came with its close is not sent on", aRequestThatCameWithItsCloseIsNotSentOn},
+                 {"a second request is not sent on when its client has left", aSecondRequestIsNotSentOnWhenItsClientHasLeft},
+                 {"a request that crosses the sweep takes no answer with it", aRequestThatCrossesTheSweepTakesNoAnswerWithIt},
+                 {"a request that comes as room is made is served", aRequestThatComesAsRoomIsMadeIsServed},
+                 {"who comes with a request is not put out unread", whoComesWithARequestIsNotPutOutUnread},
+                 {"who lingers takes no place", whoLingersTakesNoPlace},
+                 {"the backlog is answered in a stop", theBacklogIsAnsweredInAStop},
+                 {"a request that crosses the stop is answered", aRequestThatCrossesTheStopIsAnswered},
+                 {"a request that crosses the shutdown in a stop takes no answer with it",
+                  aRequestThatCrossesTheShutdownInAStopTakesNoAnswerWithIt},
+                 {"half a request is refused in a stop", halfARequestIsRefusedInAStop},
                  {"a broken stream can be told", aBrokenStreamCanBeTold},
                  {"idle clients make room", idleClientsMakeRoom},
                  {"no descriptors is no spin", noDescriptorsIsNoSpin}}) {
+    if (count > 1 && std::string_view(words[1]) != c.name) continue;
     std::puts(c.name);
     std::fflush(stdout);
     c.run();
