Front: fewer descriptors than serve are refused; a stop, a start, resting clients on real processes

Cause: where the process may hold fewer descriptors than the configuration says, descriptors - aside - mostClients wrapped, and caches could take them all. Now refused at the start with a plain line; 64 as in the configuration. What lingers (a sixteenth) comes out of the clients' half; caches still have the other half less 24 or more.

--- a/src/front/charter.cpp
+++ b/src/front/charter.cpp
@@ -237,7 +237,7 @@
   const Value& limits = need(*all, "limits", Kind::object);
   c.memoryMb = need(limits, "memory_mb", Kind::number).asNumber();
   double sockets = need(limits, "sockets", Kind::number).asNumber();
-  if (!(c.memoryMb >= 32 && sockets >= 64 && sockets <= 1e6))
+  if (!(c.memoryMb >= 32 && sockets >= leastDescriptors && sockets <= 1e6))
     throw std::runtime_error("limits are too small to serve: 32 MB and 64 sockets are the least");
   c.descriptors = static_cast<std::size_t>(sockets);
   c.known = need(*all, "known", Kind::object);
--- a/src/front/charter.hpp
+++ b/src/front/charter.hpp
@@ -67,11 +67,13 @@
   std::vector<Work> works;
 };
 
+constexpr std::size_t leastDescriptors = 64;  // with fewer there are none left for caches
+
 struct Charter {
   std::string name, boardText;
   loop::Address listen{}, board{};
   std::uint64_t seed = 0;
-  std::size_t descriptors = 0;
+  std::size_t descriptors = 0;  // at least `leastDescriptors`
   double memoryMb = 0;
   json::Value known;  // the notice board's events up to now
   StoreSheet sheet;
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -19,15 +19,28 @@
 // for what the system opens.
 constexpr std::size_t aside = 24;
 
+// The process may be held to fewer than the configuration says. Harm without the least: with none left for caches the count of
+// theirs wraps, and they take all.
 std::size_t descriptors(const Charter& c, loop::Loop& loop) {
-  return std::min(c.descriptors, loop.ground().descriptorLimit());
+  std::size_t own = loop.ground().descriptorLimit();
+  if (own < leastDescriptors)
+    throw std::runtime_error("the process may hold " + std::to_string(own) + " descriptors, at least " +
+                             std::to_string(leastDescriptors) + " are wanted");
+  return std::min(c.descriptors, own);
 }
 
+// Those that were ended from here and are read until the other side ends them too: out of the clients' half.
+std::size_t mostLingering(const Charter& c, loop::Loop& loop) { return descriptors(c, loop) / 16; }
+
 // Clients hold at most a third of the descriptors; half leaves room for those that are about to close. Each
 // may hold one answer of the largest size, here and in the system's buffers, which the memory must bear.
 std::size_t mostClients(const Charter& c, loop::Loop& loop) {
   constexpr double share = 0.6, eachMb = 0.25;
-  return std::min(descriptors(c, loop) / 2, static_cast<std::size_t>(share * c.memoryMb / eachMb));
+  return std::min(descriptors(c, loop) / 2 - mostLingering(c, loop), static_cast<std::size_t>(share * c.memoryMb / eachMb));
+}
+
+std::size_t forCaches(const Charter& c, loop::Loop& loop) {
+  return descriptors(c, loop) - aside - mostClients(c, loop) - mostLingering(c, loop);
 }
 
 std::vector<bool> written(const StoreSheet& sheet) {
@@ -48,9 +61,10 @@
     : loop_(loop),
       health_(c.sheet.zone, c.sheet.parentKind, c.sheet.originKind),
       exchange_(loop, c.sheet, c.fleet.on ? noting(deciding.decides) : deciding.decides),
-      caches_(loop, exchange_, c.terms, descriptors(c, loop) - aside - mostClients(c, loop)),
+      caches_(loop, exchange_, c.terms, forCaches(c, loop)),
       board_(loop, exchange_, c.terms, c.board),
-      clients_(loop, exchange_, c.terms.offerings, written(c.sheet), c.listen, mostClients(c, loop)) {
+      clients_(loop, exchange_, c.terms.offerings, written(c.sheet), c.listen, mostClients(c, loop),
+               mostLingering(c, loop)) {
   exchange_.meet(caches_);
   if (!board_.begin(c.known)) throw std::runtime_error("configuration lacks usable events under known");
   board_.follow();
--- a/tests/front_test.cpp
+++ b/tests/front_test.cpp
@@ -1,6 +1,9 @@
 // The whole front on sockets: its configuration, a planned stop, a new configuration while it serves.
 #include "front/front.hpp"
 
+#include <sys/prctl.h>
+#include <sys/resource.h>
+#include <sys/stat.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -34,12 +37,51 @@
          "\"streamsPerConn\":100,\"cancel\":true}}}";
 }
 
-std::string written(const std::string& text) {
-  std::string path = "/tmp/dunlinwick_test." + std::to_string(::getpid()) + ".json";
+std::string written(const std::string& text, int which = 0) {
+  std::string path = "/tmp/dunlinwick_test." + std::to_string(::getpid()) + '.' + std::to_string(which) + ".json";
   std::ofstream(path) << text;
   return path;
 }
 
+// A front as a process of its own.
+struct Served {
+  std::string path;
+  pid_t pid = 0;
+  explicit Served(std::string file, rlim_t descriptors = 0) : path(std::move(file)), pid(::fork()) {
+    assert(pid >= 0);
+    if (pid != 0) return;
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);  // none outlives a test that fails
+    rlimit limit{descriptors, descriptors};
+    if (descriptors > 0) ::setrlimit(RLIMIT_NOFILE, &limit);
+    ::_exit(front::serve(path, ""));
+  }
+  void tell(int signal) const { ::kill(pid, signal); }
+  void endsWell(loop::Loop& loop) const {
+    int status = -1;
+    until(loop, [&] { return ::waitpid(pid, &status, WNOHANG) == pid; });
+    assert(WIFEXITED(status) && WEXITSTATUS(status) == 0);
+    ::unlink(path.c_str());
+  }
+};
+
+// As soon as somebody listens there.
+Far arrive(loop::Loop& loop, const loop::Address& at) {
+  Far f;
+  until(loop, [&] {
+    f.fd = loop::Descriptor(::socket(AF_INET, SOCK_STREAM, 0));
+    return ::connect(f.fd.get(), reinterpret_cast<const sockaddr*>(&at), sizeof at) == 0;
+  });
+  ::fcntl(f.fd.get(), F_SETFL, O_NONBLOCK);
+  return f;
+}
+
+const std::string alive = "GET /alive HTTP/1.1\r\n\r\n";
+
+bool toldTheEnd(Far& f) {
+  pollfd one{f.fd.get(), POLLRDHUP, 0};
+  return ::poll(&one, 1, 0) == 1;
+}
+
 void unusableChartersSayWhy() {
   std::string good = charter(freeAddress(), "127.0.0.1:1", "127.0.0.1:2");
   struct Case {
@@ -161,9 +203,163 @@
   ::unlink(path.c_str());
 }
 
+// SIGTERM again, and SIGINT, in a stop, with a request at a cache that hangs, half a request and a resting client: the first gets
+// its final answer when its time is up, the second its refusal, the third is ended, and the exit is 0.
+void aStopEndsAllThatIsOpen() {
+  loop::Loop loop;
+  FarListener store, board;
+  loop::Address at = freeAddress();
+  Served front(written(charter(at, board.text(), store.text())));
+  Far waits = arrive(loop, at), rests = Far::to(at), silent = Far::to(at);
+  rests.say(alive);
+  until(loop, [&] { return rests.hears("HTTP/1.1 200 OK\r\n"); });
+  std::string request = get();
+  request.replace(request.find("60000"), 5, "2500");
+  waits.say(request);
+  Far cache = store.next(loop);
+  until(loop, [&] { return cache.hears("want "); });
+  Far half = Far::to(at);
+  half.say(get().substr(0, 50));
+  front.tell(SIGTERM);
+  until(loop, [&] { return half.hears("\r\n\r\n"); });
+  front.tell(SIGTERM);
+  front.tell(SIGINT);
+  assert(half.hears("HTTP/1.1 503 ") && half.hears("Connection: close\r\n"));
+  until(loop, [&] { return toldTheEnd(rests) && toldTheEnd(silent); });
+  until(loop, [&] { return waits.hears("\r\n\r\n"); });
+  assert(waits.hears("HTTP/1.1 50") && waits.hears("Connection: close\r\n"));
+  front.endsWell(loop);  // though none of them closes
+}
+
+// It is kept until the front is there.
+void aStopDuringTheStartIsKept() {
+  loop::Loop loop;
+  FarListener store, board;
+  loop::Address at = freeAddress();
+  std::string path = "/tmp/dunlinwick_test." + std::to_string(::getpid()) + ".fifo";
+  ::unlink(path.c_str());
+  assert(::mkfifo(path.c_str(), 0600) == 0);
+  Served front(path);
+  int to = ::open(path.c_str(), O_WRONLY);  // until the front opens it
+  assert(to >= 0);
+  front.tell(SIGTERM);
+  std::string text = charter(at, board.text(), store.text());
+  assert(::write(to, text.data(), text.size()) == static_cast<ssize_t>(text.size()));
+  ::close(to);
+  front.endsWell(loop);
+}
+
+// Both wait as the front looks: it stops, and follows the new board until its end.
+void aStopAndANewConfigurationAreReadAtOnce() {
+  loop::Loop loop;
+  FarListener store, old, next;
+  loop::Address at = freeAddress();
+  Served front(written(charter(at, old.text(), store.text())));
+  Far client = arrive(loop, at);
+  client.say(get());
+  Far cache = store.next(loop);
+  until(loop, [&] { return cache.hears("want "); });
+  int status = 0;
+  front.tell(SIGSTOP);
+  until(loop, [&] { return ::waitpid(front.pid, &status, WUNTRACED | WNOHANG) == front.pid && WIFSTOPPED(status); });
+  written(charter(at, next.text(), store.text()));
+  front.tell(SIGTERM);
+  front.tell(SIGHUP);
+  front.tell(SIGCONT);
+  Far nextEnd = next.next(loop);
+  until(loop, [&] { return nextEnd.hears("watch 1\n"); });
+  cache.say(id + " HIT entity=t,issued=1,remark=local 2\r\nok\r\n");
+  until(loop, [&] { return client.hears("\r\n\r\nok"); });
+  front.endsWell(loop);
+}
+
+// Resting clients take all places, by the configuration's limit or the system's, while discovery says nothing: the front is ready,
+// who rests longest goes, discovery and a cache are dialled.
+void restingClientsKeepNobodyOut() {
+  for (bool bySystem : {false, true}) {
+    loop::Loop loop;
+    FarListener store(16), board(16);
+    loop::Address at = freeAddress();
+    std::string text = charter(at, board.text(), store.text());
+    if (!bySystem) text.replace(text.find("1024"), 4, "64");
+    Served front(written(text), bySystem ? 64 : 0);
+    std::vector<Far> rest;
+    rest.push_back(arrive(loop, at));
+    for (int i = 0; i < 60; ++i) {
+      rest.push_back(Far::to(at));
+      if (i % 2) rest.back().say(alive);
+    }
+    Far newcomer = Far::to(at);
+    newcomer.say(alive);
+    until(loop, [&] { return newcomer.hears("HTTP/1.1 200 OK\r\n"); });
+    assert(toldTheEnd(rest[0]));
+    Far boardEnd = board.next(loop);
+    until(loop, [&] { return boardEnd.hears("watch 1\n"); });
+    newcomer.say(get());
+    Far cache = store.next(loop);
+    until(loop, [&] { return cache.hears("want "); });
+    cache.say(id + " HIT entity=t,issued=1,remark=local 2\r\nok\r\n");
+    until(loop, [&] { return newcomer.hears("\r\n\r\nok"); });
+    front.tell(SIGTERM);
+    front.endsWell(loop);
+  }
+}
+
+// A process held to fewer descriptors than serve says so, and does not take what it counts for caches to be without end.
+void tooFewDescriptorsAreRefused() {
+  loop::Loop loop;
+  front::Charter c = front::readCharterText(charter(freeAddress(), "127.0.0.1:1", "127.0.0.1:2"), "test", "");
+  rlimit full{}, few{};
+  ::getrlimit(RLIMIT_NOFILE, &full);
+  std::string said;
+  for (rlim_t limit : {40, 63, 64}) {
+    few = full, few.rlim_cur = limit, said.clear();
+    ::setrlimit(RLIMIT_NOFILE, &few);
+    try {
+      front::Front front(loop, c);
+    } catch (const std::runtime_error& fault) {
+      said = fault.what();
+    }
+    ::setrlimit(RLIMIT_NOFILE, &full);
+    assert((said.find("descriptors") != said.npos) == (limit < 64));
+  }
+}
+
+// A whole tier starts at once, with nobody at discovery's address or somebody who says nothing: each is ready, and serves.
+void allAreReadyWhileDiscoveryIsDownOrMute() {
+  for (bool mute : {false, true}) {
+    loop::Loop loop;
+    FarListener store, board;
+    loop::Address nobody = freeAddress();
+    std::vector<loop::Address> at;
+    {
+      std::vector<FarListener> held;
+      for (int i = 0; i < 6; ++i) held.emplace_back(1, ntohl(nobody.sin_addr.s_addr)), at.push_back(held.back().at);
+    }
+    std::vector<Served> fronts;
+    for (int i = 0; i < 6; ++i)
+      fronts.emplace_back(written(charter(at[static_cast<std::size_t>(i)], mute ? board.text() : kit::text(nobody), store.text()), i));
+    std::vector<Far> clients;
+    for (const loop::Address& a : at) {
+      clients.push_back(arrive(loop, a));
+      clients.back().say(alive);
+    }
+    for (Far& f : clients) until(loop, [&] { return f.hears("HTTP/1.1 200 OK\r\n"); });
+    for (Far& f : clients) {
+      f.say(get());
+      Far cache = store.next(loop);
+      until(loop, [&] { return cache.hears("want "); });
+      cache.say(id + " HIT entity=t,issued=1,remark=local 2\r\nok\r\n");
+      until(loop, [&] { return f.hears("\r\n\r\nok"); });
+    }
+    for (Served& f : fronts) f.tell(SIGTERM);
+    for (Served& f : fronts) f.endsWell(loop);
+  }
+}
+
 }  // namespace
 
-int main() {
+int main(int count, char** words) {  // all, or the one named
   struct Case {
     const char* name;
     void (*run)();
@@ -171,7 +367,14 @@
   for (Case c : {Case{"unusable charters say why", unusableChartersSayWhy},
                  {"the platform's own fields are passed over", thePlatformsOwnFieldsArePassedOver},
                  {"a planned stop answers all", aPlannedStopAnswersAll},
-                 {"new configurations are taken while serving", newConfigurationsAreTakenWhileServing}}) {
+                 {"new configurations are taken while serving", newConfigurationsAreTakenWhileServing},
+                 {"a stop ends all that is open", aStopEndsAllThatIsOpen},
+                 {"a stop during the start is kept", aStopDuringTheStartIsKept},
+                 {"a stop and a new configuration are read at once", aStopAndANewConfigurationAreReadAtOnce},
+                 {"resting clients keep nobody out", restingClientsKeepNobodyOut},
+                 {"too few descriptors are refused", tooFewDescriptorsAreRefused},
+                 {"all are ready while discovery is down or mute", allAreReadyWhileDiscoveryIsDownOrMute}}) {
+    if (count > 1 && std::string_view(words[1]) != c.name) continue;
     std::puts(c.name);
     std::fflush(stdout);
     c.run();
