Clients: a stop waits for who takes nothing only as long as the answer is wanted

Now until half a second after its request's deadline, when the answer counts as lost anyway. Failed before, passes now: clients_test "who takes nothing holds no stop up" (clients_test.cpp:460 clients.empty()).

--- a/src/clients/clients.cpp
+++ b/src/clients/clients.cpp
@@ -27,6 +27,7 @@
 // bytes resets the connection, and takes with it the answer that still lies in the system's buffers. In a stop shorter, since the
 // exit has a bound; a request that crosses a close of ours does so within 50 ms.
 constexpr Ms lingerFor = second, lingerInStop = 200;
+constexpr Ms tooLate = 500;  // after its time an answer counts as lost
 
 // Digits and a fraction at most: no sign, no exponent, no words.
 std::optional<double> number(std::string_view text, double low, double high) {
@@ -87,6 +88,8 @@
     if (connection_.isOver()) return;
     if (lingers_) return now - since_ < lingerInStop ? void() : drop();
     readOn();
+    // Guards the exit against who takes nothing any more: it would wait for slowestAnswer, beyond what a stop may last.
+    if (!open_ && !connection_.drainedOut() && now > wantedUntil_ + tooLate) return drop();
     if (open_ || closing_ || !connection_.drainedOut()) return;
     if (connection_.in.size() == 0) return letGo();
     connection_.in.release();
@@ -219,6 +222,7 @@
     // Its client left with its last words: no answer is owed, and an attempt begun long after it left breaks a rule.
     if (connection_.peerDone()) return letGo();
     open_ = true;
+    wantedUntil_ = all_.loop_.now() + ask.ttl;
     connection_.bePatient(true);
     std::uint32_t pull = all_.exchange_.pullCame(std::move(ask), *this);
     pull_ = pull;
@@ -276,6 +280,7 @@
   bool said_ = false;  // a whole request has come
   std::uint32_t pull_ = 0;
   Ms since_;  // the last request's or answer's end
+  Ms wantedUntil_ = 0;  // the last request's deadline
 };
 
 Clients::Clients(loop::Loop& loop, exchange::Exchange& exchange, const std::vector<std::string>& offerings,
--- a/tests/clients_test.cpp
+++ b/tests/clients_test.cpp
@@ -432,6 +432,34 @@
   assert(c.d.caches.sent.empty() && c.d.exchange.counters.badRequests == 0);
 }
 
+// Answers go out to a client that takes nothing until the system's buffers are full. In a stop that is waited for no longer than
+// anybody wants the answer; no exit waits for a dead client.
+void whoTakesNothingHoldsNoStopUp() {
+  Counter c;
+  Far f(loop::Descriptor(::socket(AF_INET, SOCK_STREAM, 0)));
+  int small = 1 << 12;
+  ::setsockopt(f.fd.get(), SOL_SOCKET, SO_RCVBUF, &small, sizeof small);
+  assert(::connect(f.fd.get(), reinterpret_cast<const sockaddr*>(&c.at), sizeof c.at) == 0);
+  ::fcntl(f.fd.get(), F_SETFL, O_NONBLOCK);
+  std::string request = get();
+  request.replace(request.find("60000"), 5, "2500");
+  std::string body(exchange::mostBytes, 'x');
+  auto sentOn = [&](std::size_t which) {
+    for (int i = 0; i < 50 && c.d.caches.sent.size() <= which; ++i) c.d.loop.turn(1);
+    return c.d.caches.sent.size() > which;
+  };
+  std::size_t which = 0;
+  for (f.say(request); sentOn(which); ++which, f.say(request)) {
+    assert(which < 200);
+    c.finish(c.leg(which), said(Ending::finished), body);
+  }
+  for (int i = 0; i < 3; ++i) c.clients.leave(), c.d.loop.turn(0);
+  assert(!c.clients.empty());
+  c.d.loop.skip(3100);
+  for (int i = 0; i < 3; ++i) c.clients.leave(), c.d.loop.turn(0);
+  assert(c.clients.empty());
+}
+
 void aBrokenStreamCanBeTold() {
   StoreSheet s = kit::sheet();
   s.offerings[0].streams = true;
@@ -511,6 +539,7 @@
                  {"a request that crosses the shutdown in a stop takes no answer with it",
                   aRequestThatCrossesTheShutdownInAStopTakesNoAnswerWithIt},
                  {"half a request is refused in a stop", halfARequestIsRefusedInAStop},
+                 {"who takes nothing holds no stop up", whoTakesNothingHoldsNoStopUp},
                  {"a broken stream can be told", aBrokenStreamCanBeTold},
                  {"idle clients make room", idleClientsMakeRoom},
                  {"no descriptors is no spin", noDescriptorsIsNoSpin}}) {
