--- a/src/logic/choice.hpp
+++ b/src/logic/choice.hpp
@@ -7,7 +7,7 @@
 
 struct Choice : Part {
   const Load& load;
-  const Cold& cold;
+  Cold& cold;
   Health& health;
   double meanPayoff = 1, meanWork = 100, placePrice = 0;
   std::vector<double> shares{};  // of pulls, by zone; empty: all stay in the own
@@ -20,7 +20,7 @@
   Machine* among(const Pull& p, const std::vector<Machine*>& caches) {
     std::vector<Machine*> open;
     for (Machine* m : load.roster.inOrder(caches, p.object))
-      if (health.judge(*m) && !p.hasFailed(m) && mayGo(p, *m) && cold.affords(*m, p.ware->meanSending))
+      if (health.judge(*m) && !p.hasFailed(m) && mayGo(p, *m) && cold.affords(*m, p.sending))
         open.push_back(m);
     Machine* at = firstInBounds(open, p);
     return at && load.level(*at) <= bearable(p) ? at : nullptr;
@@ -65,7 +65,7 @@
   // earns less is declined. Guards against surges or slowness that fill them. Harm: costs some large objects.
   bool crowdsOut(const Pull& p) {
     meanPayoff += 0.01 * (p.ware->payoff - meanPayoff);  // about the last hundred pulls
-    meanWork += 0.01 * (p.sending - meanWork);
+    meanWork += 0.01 * (p.sending - meanWork), cold.meet(p.sending);
     constexpr double aim = 0.9, step = 0.002, swing = 4;  // settles in a second; hundreds swing by a tenth
     double over = f.places > 0 ? static_cast<double>(pulls.size()) / f.places - aim : -1;
     placePrice = std::clamp(placePrice + step * over, 0.0, 2.0);
--- a/src/logic/cold.hpp
+++ b/src/logic/cold.hpp
@@ -17,22 +17,35 @@
     return least > 0 ? least : m.room.proven;
   }
 
-  // The rule counts work over every window of the stated length. Half of this front's share is used: sizes
-  // are estimates, and pulls bunch. Where a share is less than a leg, a front has one in as many windows as
-  // make it up, by chance; a turn that is not used lapses, so that none are saved up.
+  // The rule counts work over every window of the stated length, with 2 sqrt(N) + 2 mean requests for chance.
+  // Half of this front's share is used, since pulls bunch. What is more goes by a draw that holds for a
+  // window and lapses, so that none is saved up: sums up to a mean one, or one, by its own work beside what
+  // is left, up to half the limit. Guards against unequal sizes. Harm: the largest go to warm machines.
   bool affords(Machine& m, Ms work) const {
     const ColdTerms* t = load.roster.coldTerms(m);
     if (!t || t->multiple <= 0 || f.coldWindow <= 0) return true;
+    forget(m);
+    double whole = t->multiple * capacity(m) * load.roster.warmth(m) * f.coldWindow, spent = 0;
+    double share = 0.5 * whole / load.sharers(m);
+    if (now >= m.turnUntil) m.turn = drawn(), m.turnUntil = now + f.coldWindow;
+    for (auto& [at, w] : m.spent) spent += w;
+    if (spent + work <= std::max(share, m.turn * meanWork < share ? meanWork : 0)) return true;
+    double limit = whole + 2 * std::sqrt(whole * meanWork) + 2 * meanWork;
+    return work <= limit / 2 && m.turn * work < share - spent;
+  }
+
+  // Booked at warm ones too: what was sent before the news of a start came is at the new process.
+  void charge(Machine& m, Ms work) const { forget(m), m.spent.emplace_back(now, work); }
+  void forget(Machine& m) const {
     while (!m.spent.empty() && m.spent.front().first < now - f.coldWindow) m.spent.pop_front();
-    double share = 0.5 * t->multiple * capacity(m) * load.roster.warmth(m) * f.coldWindow / load.sharers(m);
-    if (share < work && now >= m.turnUntil) m.turn = drawn() < share / work, m.turnUntil = now + f.coldWindow;
-    if (share < work) return m.turn && m.spent.empty();
-    for (auto& [at, w] : m.spent) work += w;
-    return work <= share;
   }
 
-  void charge(Machine& m, Ms work) const {
-    load.roster.coldTerms(m) ? (void)m.spent.emplace_back(now, work) : m.spent.clear();
+  // The mean work of this front's requests, steady since an object's parts come in a row.
+  double meanWork = 0;
+  int worksSeen = 0;
+  void meet(Ms work) {
+    worksSeen = std::min(worksSeen + 1, 500);  // some thirty objects
+    meanWork += (work - meanWork) / worksSeen;
   }
 };
 
--- a/src/logic_state/records.hpp
+++ b/src/logic_state/records.hpp
@@ -38,7 +38,7 @@
   Room room;
   std::deque<std::pair<Ms, double>> spent;  // cold budget: emptied as the window passes
   Ms turnUntil = longAgo;
-  bool turn = false;
+  double turn = 1;  // drawn from 0 to 1, for a window of the budget
   int strikes = 0, answers = 0;
   bool aside = false, trialOut = false, mayBeNew = false;
   Ms asideUntil = 0, pause = 0, fullUntil = 0;
