--- a/src/exchange/exchange.cpp
+++ b/src/exchange/exchange.cpp
@@ -310,6 +310,7 @@
 }
 
 bool Exchange::stillWanted(LegKey key) {
+  if (!known(key.pull)) return true;  // not of a request of ours: its sender's own affair
   Leg* leg = legOut(key);
   if (!leg) return false;
   const Pull& p = *known(key.pull);
