Idempotency keys go on with the attempt; crossings on the caches' side are tested

One that does not fit a line is refused with 400. Also: an attempt that was taken back leaves its connection free for the next.

--- a/src/caches/lines.cpp
+++ b/src/caches/lines.cpp
@@ -87,6 +87,7 @@
   add(how.renew, "freshen");
   if (!words.empty()) line += ",f=" + words;
   if (!ask.tag.empty()) line += ",mine=" + ask.tag;
+  if (!ask.key.empty()) line += ",replay=" + ask.key;
   line += ' ' + std::to_string(ask.body.size()) + "\r\n";
   return line + ask.body + "\r\n";
 }
--- a/src/clients/clients.cpp
+++ b/src/clients/clients.cpp
@@ -245,7 +245,7 @@
     if (!writes && !r.body.empty()) return 400;
     ask.body = r.body;
     ask.id = r.header("X-Request-Id");
-    if (!isId(ask.id) || r.repeats({"Host", "X-Request-Id", "X-Timeout-Ms", "X-Group", "X-Memory-Kb"}))
+    if (!isId(ask.id) || r.repeats({"Host", "X-Request-Id", "X-Timeout-Ms", "X-Group", "X-Memory-Kb", "Idempotency-Key"}))
       return 400;
     std::string_view query = r.query;
     if (!query.empty()) {
@@ -265,6 +265,9 @@
       ask.sizeKb = *size;
     }
     ask.tag = bareTag(r.header("If-None-Match"));
+    // It goes on as it is: caches know a repeat by it, so one that does not fit a line can't be let go either.
+    ask.key = r.header("Idempotency-Key");
+    if (r.has("Idempotency-Key") && (!isToken(ask.key) || ask.key.size() > longestName)) return 400;
     // Ids are new with every request. Two open ones under one id could get each other's answer, or run twice.
     if (all_.exchange_.isOpen(ask.id)) return 409;
     return 0;
--- a/src/exchange/exchange.cpp
+++ b/src/exchange/exchange.cpp
@@ -319,7 +319,11 @@
 }
 
 void Exchange::lapsed(LegKey key) {
-  if (Leg* leg = legOut(key)) leg->sentAt = loop_.now(), endLeg(key, Ending::moot, {}, 0, true);
+  Leg* leg = legOut(key);
+  if (!leg) return;
+  leg->via = 0;  // nothing was asked there, so no answer comes there
+  leg->sentAt = loop_.now();
+  endLeg(key, Ending::moot, {}, 0, true);
 }
 
 void Exchange::moved(LegKey key, std::uint64_t via) {
--- a/src/exchange/exchange.hpp
+++ b/src/exchange/exchange.hpp
@@ -19,6 +19,7 @@
 // A pull as its client worded it. Id, names, tag and body go on as they are.
 struct Ask {
   std::string id, offering, object, part, tag, body;
+  std::string key;  // by which repeats are known, where its client names one
   int offeringAt = 0, partNumber = 0, group = 0;
   Ms ttl = 0;
   double sizeKb = 0;
--- a/tests/crossings_test.cpp
+++ b/tests/crossings_test.cpp
@@ -399,7 +399,7 @@
 
 // A ground of two descriptors and a clock that goes on by a millisecond a wait: 1 is always readable, 2 ends at a set time.
 struct Bare final : loop::Ground {
-  Ms clock = 1000, endsAt = 0;
+  Ms clock = 1000, endsAt = 1e18;
   Ms now() override { return clock; }
   int wait(std::span<pollfd> watched, int) override {
     clock += 1;
