--- a/src/logic/cold.hpp
+++ b/src/logic/cold.hpp
@@ -20,7 +20,7 @@
   // The rule counts work over every window of the stated length, with 2 sqrt(N) + 2 mean requests for chance.
   // Half of this front's share is used, since pulls bunch. What is more goes by a draw that holds for a
   // window and lapses, so that none is saved up: sums up to a mean one, or one, by its own work beside what
-  // is left, up to half the limit. Guards against unequal sizes. Harm: the largest go to warm machines.
+  // is left, up to half the limit. Harm: the largest go to warm machines.
   bool affords(Machine& m, Ms work) const {
     const ColdTerms* t = load.roster.coldTerms(m);
     if (!t || t->multiple <= 0 || f.coldWindow <= 0) return true;
@@ -34,19 +34,18 @@
     return work <= limit / 2 && m.turn * work < share - spent;
   }
 
-  // Its own, and never less than its class's mean: who counts requests counts each as one.
   static Ms workOf(const Pull& p) { return std::max(p.sending, p.ware->meanSending); }
-  // Booked at warm ones too: what was sent before the news of a start came is at the new process.
+  // Its own, and not less than its class's mean, which who counts requests holds it for. Booked at warm ones
+  // too: what was sent before the news of a start came is at the new process.
   void charge(Machine& m, Ms work) const { forget(m), m.spent.emplace_back(now, work); }
   void forget(Machine& m) const {
     while (!m.spent.empty() && m.spent.front().first < now - f.coldWindow) m.spent.pop_front();
   }
 
   // The mean work of this front's requests, steady since an object's parts come in a row.
-  double meanWork = 0;
-  int worksSeen = 0;
+  double meanWork = 0, worksSeen = 0;
   void meet(Ms work) {
-    meanWork += (work - meanWork) / (worksSeen = std::min(worksSeen + 1, 500));  // some thirty objects
+    meanWork += (work - meanWork) / (worksSeen = std::min(worksSeen + 1, 500.0));  // some thirty objects
   }
 };
 
