--- a/src/logic/choice.hpp
+++ b/src/logic/choice.hpp
@@ -46,10 +46,8 @@
   double bearable(const Pull& p) const {
     constexpr double margin = 0.8;  // the level is an estimate, and rises while the pull is under way
     double stretch = margin * (p.agreedAt - now) / std::max(p.sending, 1.0);
-    return std::clamp(stretch * std::clamp(std::pow(worthiness(p), 0.2), 0.7, 1.3), stays(p) ? 5 : 1.2, 5.0);
+    return std::clamp(stretch * std::clamp(std::pow(worthiness(p), 0.2), 0.7, 1.3), 1.2, 5.0);
   }
-  // Half stay, whatever they earn: else overload answers none of a class's largest. Harm: fewer in all.
-  bool stays(const Pull& p) const { return fraction(mixed(p.pull)) > 0.5; }
   double worthiness(const Pull& p) const {  // payoff for the work, beside that of the usual pull
     return (p.ware->payoff / std::max(p.sending, 1.0)) / (meanPayoff / std::max(meanWork, 1.0));
   }
@@ -71,7 +69,7 @@
     constexpr double aim = 0.9, step = 0.002, swing = 4;  // settles in a second; hundreds swing by a tenth
     double over = f.places > 0 ? static_cast<double>(pulls.size()) / f.places - aim : -1;
     placePrice = std::clamp(placePrice + step * over, 0.0, 2.0);
-    return worthiness(p) < placePrice + swing * over && !stays(p);
+    return worthiness(p) < placePrice + swing * over;
   }
 
   // Rule 2: where a further leg of this pull may go.
