Failing tests: a request that waits in the front counts its deadline from too late

Symptom, as callers saw it: of two requests in one write, with 4000 and 2000 ms, the first answered after 1 s and the second never, the second went to its server with max=2000 a second after it had been sent, and got its final answer a second after its time, which counts as lost.

A case with a whole front whose places are all taken was tried and not kept: the price on places refuses such a request at once, so that nothing is passed on.

--- a/tests/descriptors_test.cpp
+++ b/tests/descriptors_test.cpp
@@ -91,6 +91,52 @@
   assert(t.caches.sent.size() == 3 && events < 900);
 }
 
+// A request waits in the backlog for two of its three seconds, until a place is free: what is
+// passed on is what its client has left.
+void ARequestThatWaitedToBeAcceptedTellsWhatItsClientHasLeft() {
+  constexpr Ms kWaits = 2000;
+  constexpr Ms kSlack = 150;
+  const std::string deadline = "X-Timeout-Ms: 60000", shorter = "X-Timeout-Ms: 3000";
+  Tier t(100, 2);
+  for (int i = 0; i < 4; ++i) {
+    std::string request = GetAs(i);
+    t.Come(request.replace(request.find(deadline), deadline.size(), shorter));
+    t.EventsIn(10);
+  }
+  assert(t.caches.sent.size() == 3);
+  t.EventsIn(kWaits);
+  t.front.Act([&] { t.exchange->AnswerWhole(t.caches.sent[0].key, Said(Ending::kFinished)); });
+  t.EventsIn(10);
+  assert(t.caches.sent.size() == 4);
+  assert(t.caches.sent[3].how.timeout <= 3000 - kWaits + kSlack);
+}
+
+// The same for one that waits until its client has taken the answer before it.
+void ARequestThatWaitedForAnAnswerToGoOutTellsWhatItsClientHasLeft() {
+  constexpr Ms kWaits = 2000;
+  constexpr Ms kSlack = 150;
+  constexpr std::size_t kMuch = 200000;  // more than the network holds
+  const std::string deadline = "X-Timeout-Ms: 60000", shorter = "X-Timeout-Ms: 3000";
+  Tier t(100, 2);
+  std::string second = GetAs(2);
+  second.replace(second.find(deadline), deadline.size(), shorter);
+  t.Come(GetAs(1) + second);
+  t.peers.Act([&] { t.all[0]->connection->ReadUpTo(1); });
+  t.EventsIn(10);
+  assert(t.caches.sent.size() == 1);
+  t.front.Act([&] {
+    t.exchange->AnswerBytes(t.caches.sent[0].key, std::string(kMuch, 'x'));
+    t.exchange->AnswerWhole(t.caches.sent[0].key, Said(Ending::kFinished));
+  });
+  t.peers.Act([&] { t.all[0]->connection->ReadUpTo(0); });
+  t.EventsIn(kWaits);
+  assert(t.caches.sent.size() == 1);
+  t.peers.Act([&] { t.all[0]->connection->ReadUpTo(kMuch); });
+  t.EventsIn(100);
+  assert(t.caches.sent.size() == 2);
+  assert(t.caches.sent[1].how.timeout <= 3000 - kWaits + kSlack);
+}
+
 }  // namespace
 
 int main(int count, char** words) {  // all, or the one named
@@ -100,7 +146,11 @@
   };
   for (Case c : {Case{"out of descriptors, all are served without spinning",
                       OutOfDescriptorsAllAreServedWithoutSpinning},
-                 {"all places taken is no spin", AllPlacesTakenIsNoSpin}}) {
+                 {"all places taken is no spin", AllPlacesTakenIsNoSpin},
+                 {"a request that waited to be accepted tells what its client has left",
+                  ARequestThatWaitedToBeAcceptedTellsWhatItsClientHasLeft},
+                 {"a request that waited for an answer to go out tells what its client has left",
+                  ARequestThatWaitedForAnAnswerToGoOutTellsWhatItsClientHasLeft}}) {
     if (count > 1 && std::string_view(words[1]) != c.name)
       continue;
     std::puts(c.name);
