--- a/src/clients/clients.cpp
+++ b/src/clients/clients.cpp
@@ -1,9 +1,9 @@
 #include "clients/clients.hpp"
 
 #include <algorithm>
-#include <charconv>
 #include <cmath>
 
+#include "clients/ask_reader.hpp"
 #include "clients/close_policy.hpp"
 #include "log/log.hpp"
 
@@ -21,35 +21,6 @@
 // on a new connection.
 constexpr Ms kSlowestRequest = 2.5 * kSecond;
 
-// Digits and a fraction at most: no sign, no exponent, no words.
-std::optional<double> Number(std::string_view text, double low, double high) {
-  double v = 0;
-  if (text.find_first_not_of("0123456789.") != text.npos)
-    return std::nullopt;
-  auto [end, fault] = std::from_chars(text.data(), text.data() + text.size(), v);
-  if (text.empty() || fault != std::errc{} || end != text.data() + text.size() ||
-      !(v >= low && v <= high))
-    return std::nullopt;
-  return v;
-}
-
-bool IsId(std::string_view text) {
-  return text.size() == 16 && std::all_of(text.begin(), text.end(), [](char c) {
-           return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'f') || (c >= 'A' && c <= 'F');
-         });
-}
-
-// One strong tag, bare, of bytes that fit a field on the caches' lines; else none is passed on,
-// which only costs the bytes of an answer.
-std::string_view BareTag(std::string_view text) {
-  if (text.size() < 3 || text.front() != '"' || text.back() != '"')
-    return {};
-  text = text.substr(1, text.size() - 2);
-  bool fits = std::all_of(text.begin(), text.end(),
-                          [](char c) { return c > ' ' && c < 127 && c != '"' && c != ','; });
-  return fits ? text : std::string_view{};
-}
-
 std::vector<Field> FieldsOf(const std::string& tag, bool bytes) {
   std::vector<Field> fields;
   if (bytes)
@@ -351,8 +322,12 @@
       return answer(all_.exchange_.Ready() && !all_.winding_ ? 200 : 503, {}, {});
     }
     Ask ask;
-    if (int status = ReadAsk(r, ask); status != 0)
+    if (int status = ReadAsk(r, all_.request_classes_, ask); status != 0)
       return Refuse(status);
+    // Ids are new with every request. Two open ones under one id could get each other's answer, or
+    // run twice.
+    if (all_.exchange_.IsOpen(ask.id))
+      return Refuse(409);
     // Its client left with its last words: no answer is owed, and an attempt begun long after it
     // left breaks a rule.
     if (connection_.PeerDone())
@@ -368,69 +343,6 @@
     request_ = request;
   }
 
-  // The status with which the request is refused, or 0.
-  int ReadAsk(const Request& r, Ask& ask) const {
-    if (!r.path.starts_with("/ops/"))
-      return 404;
-    std::string_view names = r.path.substr(5);
-    std::size_t slash = names.find('/');
-    if (slash == names.npos)
-      return 404;
-    ask.request_class = names.substr(0, slash);
-    ask.object = names.substr(slash + 1);
-    auto at =
-        std::find(all_.request_classes_.begin(), all_.request_classes_.end(), ask.request_class);
-    constexpr std::size_t kLongestName =
-        128;  // it goes on the caches' lines, whose length is bounded
-    if (at == all_.request_classes_.end() || !IsToken(ask.object) ||
-        ask.object.size() > kLongestName)
-      return 404;
-    ask.request_class_at = static_cast<int>(at - all_.request_classes_.begin());
-    bool writes = all_.written_[static_cast<std::size_t>(ask.request_class_at)];
-    if (r.method != (writes ? "PUT" : "GET"))
-      return 405;
-    if (!writes && !r.body.empty())
-      return 400;
-    ask.body = r.body;
-    ask.id = r.header("X-Request-Id");
-    if (!IsId(ask.id) || r.Repeats({"Host", "X-Request-Id", "X-Timeout-Ms", "X-Group",
-                                    "X-Memory-Kb", "Idempotency-Key"}))
-      return 400;
-    std::string_view query = r.query;
-    if (!query.empty()) {
-      if (!query.starts_with("part="))
-        return 400;
-      ask.part = query.substr(5);
-      auto part = Number(ask.part, 0, 1e9);
-      if (!part || ask.part.find_first_not_of("0123456789") != ask.part.npos)
-        return 400;
-      ask.part_number = static_cast<int>(*part);
-    }
-    auto ttl = Number(r.header("X-Timeout-Ms"), 0, 1e7),
-         group = Number(r.header("X-Group"), 0, 255);
-    if (!ttl || !group || *group != std::floor(*group))
-      return 400;
-    ask.ttl = *ttl;
-    ask.group = static_cast<int>(*group);
-    if (r.Has("X-Memory-Kb")) {
-      auto size = Number(r.header("X-Memory-Kb"), 0, 1e9);
-      if (!size)
-        return 400;
-      ask.size_kb = *size;
-    }
-    ask.tag = BareTag(r.header("If-None-Match"));
-    // It goes on as it is: caches know a repeat by it, so one that does not fit a line can't be let
-    // go either.
-    ask.key = r.header("Idempotency-Key");
-    if (r.Has("Idempotency-Key") && (!IsToken(ask.key) || ask.key.size() > kLongestName))
-      return 400;
-    // Ids are new with every request. Two open ones under one id could get each other's answer, or
-    // run twice.
-    if (all_.exchange_.IsOpen(ask.id))
-      return 409;
-    return 0;
-  }
-
   Clients& all_;
   std::uint64_t number_;
   int descriptor_;  // the connection's, which owns it
@@ -455,8 +367,7 @@
                  const loop::Address& at, std::size_t most, std::size_t most_lingering)
     : loop_(loop),
       exchange_(exchange),
-      request_classes_(request_classes),
-      written_(std::move(written)),
+      request_classes_{request_classes, std::move(written)},
       most_(most),
       most_lingering_(std::max<std::size_t>(1, most_lingering)),
       listener_(loop, at, [this](loop::Descriptor fd) { Taken(std::move(fd)); }) {
--- a/src/clients/clients.hpp
+++ b/src/clients/clients.hpp
@@ -5,7 +5,7 @@
 #include <map>
 #include <memory>
 
-#include "clients/http.hpp"
+#include "clients/ask_reader.hpp"
 #include "exchange/exchange.hpp"
 #include "loop/listener.hpp"
 
@@ -54,8 +54,7 @@
 
   loop::Loop& loop_;
   exchange::Exchange& exchange_;
-  std::vector<std::string> request_classes_;
-  std::vector<bool> written_;  // by offering: its pulls write
+  RequestClasses request_classes_;
   std::size_t most_;
   std::size_t most_lingering_;
   bool winding_ = false;
