Failing tests: largest requests in slow start together; a client that left in a standstill

Symptoms: with 8, 12 and 20 processes that each have a request of nearly half the limit in one window, a server in slow start gets 1.21, 1.72 and 1.21 of what the limit allows; an attempt begins for a client that left 0.3 s before, where the process stood still between its wait and the write.

fleet_budget_test plays "largest of few come together" with 4, 5, 6, 8, 12 and 20 processes as well, and takes a case's name, so that cases can run side by side. crossings_test has a case for the standstill; its fixture of two servers is shared with the case it came from.

--- a/tests/crossings_test.cpp
+++ b/tests/crossings_test.cpp
@@ -336,51 +336,100 @@
   } while (std::next_permutation(order.begin(), order.end()));
 }
 
-// The cache's refusal and the client's close in one turn, the cache's descriptor the lower: no
-// further attempt begins.
-void WhoLeavesIsHeardFirst() {
-  FarListener one, other;
-  Road r(Machines({{"s-1", one.at}, {"s-2", other.at}}), SettingsWith(false));
+// A client whose request is out at one of two servers, with connections up to both. Every client's
+// descriptor lies above theirs.
+struct TwoServers {
+  FarListener listeners[2];
+  Road road{Machines({{"s-1", listeners[0].at}, {"s-2", listeners[1].at}}), SettingsWith(false)};
   loop::Address at = FreeAddress();
-  clients::Clients clients(r.loop, r.exchange, MakeTerms().request_classes, {false, true}, at, 50);
-  // The connections to both caches come first, so that every client's descriptor lies above theirs.
-  std::vector<Asked> before(2);
-  Far peer[2];
-  for (int i = 0; i < 40 && !(peer[0].fd && peer[1].fd); ++i) {
-    Ask a = AskFor("00000000000000" + std::to_string(10 + i));
-    a.object = "object" + std::to_string(i);
+  clients::Clients clients{road.loop, road.exchange, MakeTerms().request_classes, {false, true}, at,
+                           50};
+  Far servers[2];
+  Far client;
+  Far* home = nullptr;   // has the request
+  Far* other = nullptr;  // would get the next attempt
+
+  TwoServers() {
+    for (int i = 0; i < 40 && !(servers[0].fd && servers[1].fd); ++i)
+      Answer("00000000000000" + std::to_string(10 + i), "object" + std::to_string(i));
+    assert(servers[0].fd && servers[1].fd);
+    client = Far::To(at);
+    client.Send(Get());
+    Until(road.loop, [&] {
+      for (Far& one : servers)
+        if (one.Hears("want " + kId))
+          home = &one;
+      return home != nullptr;
+    });
+    other = home == &servers[0] ? &servers[1] : &servers[0];
+  }
+  // One request, answered by the server that its object leads to.
+  void Answer(const std::string& id, const std::string& object) {
+    Ask ask = AskFor(id);
+    ask.object = object;
     Asked answered;
-    r.exchange.OnRequest(a, answered);
-    Until(r.loop, [&] {
-      FarListener* all[] = {&one, &other};
+    road.exchange.OnRequest(ask, answered);
+    Until(road.loop, [&] {
       for (int k = 0; k < 2; ++k) {
-        int got = peer[k].fd ? -1 : ::accept4(all[k]->fd.Get(), nullptr, nullptr, SOCK_NONBLOCK);
+        int got =
+            servers[k].fd ? -1 : ::accept4(listeners[k].fd.Get(), nullptr, nullptr, SOCK_NONBLOCK);
         if (got >= 0)
-          peer[k] = Far(loop::Descriptor(got));
-        if (peer[k].fd && peer[k].Hears(a.id)) {
-          peer[k].Send(a.id + " HIT entity=t,issued=1,remark=local 0\r\n\r\n");
-          peer[k].got.clear();
+          servers[k] = Far(loop::Descriptor(got));
+        if (servers[k].fd && servers[k].Hears(id)) {
+          servers[k].Send(id + " HIT entity=t,issued=1,remark=local 0\r\n\r\n");
+          servers[k].got.clear();
         }
       }
       return !answered.notified.empty();
     });
   }
-  assert(peer[0].fd && peer[1].fd);
-  Far client = Far::To(at);
-  client.Send(Get());
-  Far* home = nullptr;
-  Until(r.loop, [&] {
-    for (Far& one : peer)
-      if (one.Hears("want " + kId))
-        home = &one;
-    return home != nullptr;
-  });
-  auto attempts = r.exchange.counters.attempts;
-  home->Send(kId + " SHED - 0\r\n\r\n");
-  client.fd.Reset();
-  r.loop.Skip(10);  // as after a standstill: all are looked at
-  Until(r.loop, [&] { return r.exchange.counters.full == 1; });
-  assert(r.exchange.counters.attempts == attempts && r.exchange.counters.left == 1);
+};
+
+// The cache's refusal and the client's close in one turn, the cache's descriptor the lower: no
+// further attempt begins.
+void WhoLeavesIsHeardFirst() {
+  TwoServers t;
+  auto attempts = t.road.exchange.counters.attempts;
+  t.home->Send(kId + " SHED - 0\r\n\r\n");
+  t.client.fd.Reset();
+  t.road.loop.Skip(10);  // as after a standstill: all are looked at
+  Until(t.road.loop, [&] { return t.road.exchange.counters.full == 1; });
+  assert(t.road.exchange.counters.attempts == attempts && t.road.exchange.counters.left == 1);
+}
+
+// Symptom: an attempt began for a client that had left 0.3 s before. The process stood still in the
+// middle of a turn: the poll before it showed no leaving, and nobody was looked at again before the
+// write. Where the last wait is so long ago, the client's connection is looked at once more.
+void WhoLeavesInAStandstillWithinATurnIsNotAskedFor() {
+  struct Standstill final : loop::Handler {
+    int ends[2];
+    std::function<void()> what;
+    Standstill() {
+      assert(::pipe(ends) == 0);
+    }
+    ~Standstill() {
+      ::close(ends[0]);
+      ::close(ends[1]);
+    }
+    void Ready(short) override {
+      if (what)
+        std::exchange(what, nullptr)();
+    }
+  };
+  Standstill standstill;  // its descriptor is the lowest, so it is handled first
+  TwoServers t;
+  standstill.what = [&] {
+    t.client.fd.Reset();
+    t.road.loop.Skip(300);
+  };
+  t.road.loop.WatchDescriptor(standstill.ends[0], standstill, POLLIN);
+  t.home->Send(kId + " SHED - 0\r\n\r\n");
+  assert(::write(standstill.ends[1], "x", 1) == 1);
+  Until(t.road.loop, [&] { return t.road.exchange.counters.left == 1; });
+  t.road.loop.Forget(standstill.ends[0]);
+  t.road.Turns();
+  assert(t.road.exchange.counters.full == 1);
+  assert(!t.other->Hears("want " + kId));
 }
 
 // A ground of two descriptors and a clock that goes on by a millisecond a wait: 1 is always
@@ -492,6 +541,8 @@
         {"keys go on with each attempt", KeysGoOnWithEachAttempt},
         {"one turn in each order", OneTurnInEachOrder},
         {"who leaves is heard first", WhoLeavesIsHeardFirst},
+        {"who leaves in a standstill within a turn is not asked for",
+         WhoLeavesInAStandstillWithinATurnIsNotAskedFor},
         {"a patient close is seen soon and first", APatientCloseIsSeenSoonAndFirst}}) {
     if (argc > 1 && std::string(c.name).find(argv[1]) == std::string::npos)
       continue;
--- a/tests/fleet_budget_test.cpp
+++ b/tests/fleet_budget_test.cpp
@@ -5,6 +5,7 @@
 #include <map>
 #include <queue>
 #include <random>
+#include <string_view>
 #include <variant>
 
 #include "kit.hpp"
@@ -567,8 +568,11 @@
   }
 };
 
-// Crossing: one, two or three processes that each have a request of nearly half the limit at the
-// same time.
+// Crossing: processes that each have a request of nearly half the limit at the same time.
+//
+// Symptom: with 8, 12 and 20 processes the server in slow start got 1.21, 1.72 and 1.21 of the
+// limit; with up to 3 the limit was divided among all of them, with more each might send half of
+// it, and the draw alone bounded how many did.
 int LargestOfFewComeTogether() {
   int over = 0;
   StoreSettings s = Settings();
@@ -578,7 +582,7 @@
     o.expiry = 20000;
     o.agreed_stretch = 4;
   }
-  for (int fronts : {1, 2, 3}) {
+  for (int fronts : {1, 2, 3, 4, 5, 6, 8, 12, 20}) {
     s.fronts = s.zone_replicas = fronts;
     double worst = 0;
     for (std::uint64_t seed = 1; seed <= 40; ++seed) {
@@ -610,12 +614,15 @@
 
 }  // namespace
 
-int main() {
+// Without an argument all cases, else the one of that name, so that they can run side by side.
+int main(int argc, char** argv) {
   struct Case {
     const char* name;
     int (*run)();
   };
+  const std::string_view only = argc > 1 ? argv[1] : "";
   int broken = 0;
+  int played = 0;
   for (auto [name, run] :
        {Case{"what went before the news counts", WhatWentBeforeTheNewsCounts},
         {"budgets are used where there is demand", BudgetsAreUsedWhereThereIsDemand},
@@ -626,11 +633,14 @@
         {"largest of few come together", LargestOfFewComeTogether},
         {"servers start together", ServersStartTogether},
         {"servers come back", ServersComeBack}}) {
+    if (!only.empty() && only != name)
+      continue;
+    ++played;
     std::puts(name);
     int wrong = run();
     std::printf("%d broken\n", wrong);
     std::fflush(stdout);
     broken += wrong;
   }
-  assert(broken == 0);
+  assert(played > 0 && broken == 0);
 }
