Slow start: with more than three replicas, too, largest requests are divided among them

Seen: 8, 12 and 20 replicas sent a starting server up to 1.72 of its limit. Cause: Cold::Affords divided what the limit leaves among up to three replicas; with more each might send half of the limit, and the draw alone bounded how many did at once.

--- a/src/logic/cold.hpp
+++ b/src/logic/cold.hpp
@@ -39,11 +39,10 @@
     if (spent + work <= std::max(share, m.turn * mean_work < share ? mean_work : 0))
       return true;
     double limit = whole + 2 * std::sqrt(whole * mean_work) + 2 * mean_work;
-    // A few replicas may all send their largest within one window: the limit then has room for all
-    // of them.
-    constexpr int kFew = 3;
-    double largest =
-        sharers > kFew ? limit / 2 : std::min(limit / 2, (limit - whole / 2) / sharers);
+    // Replicas may all send their largest within one window: the limit then has room for so many of
+    // them, as many as the draw lets come together.
+    constexpr int kMostTogether = 8;
+    double largest = std::min(limit / 2, (limit - whole / 2) / std::min(sharers, kMostTogether));
     return work <= largest && m.turn * work < share - spent;
   }
 
