No attempt begins for a client that left while the process stood still within a turn

Cause: leaving is seen by the poll at the start of a turn, and what the turn writes went by that, however old it was. Now the one check in the moment before an attempt's first byte looks at the client's connection once more where the last wait ended over 50 ms ago.

--- a/src/clients/clients.cpp
+++ b/src/clients/clients.cpp
@@ -138,6 +138,13 @@
     Close(CloseReason::kClientLeft);
   }
 
+  bool HasLeft() override {
+    if (connection_.IsOver())
+      return true;
+    pollfd leaving{descriptor_, POLLRDHUP, 0};
+    return all_.loop_.environment().Wait({&leaving, 1}, 0) > 0;
+  }
+
   // ---- answers
   void Finished(const std::string& tag, std::string body) override {
     answer(200, std::move(body), FieldsOf(tag, true));
--- a/src/exchange/exchange.cpp
+++ b/src/exchange/exchange.cpp
@@ -371,6 +371,11 @@
   Ms now = loop_.now();
   if (attempt->not_after > 0 && now >= attempt->not_after)
     return 0;
+  // Where the process stood still since its last look at the sockets, the client may have left
+  // unseen. Half of the 0.1 s after which an attempt begun for it counts as lost.
+  constexpr Ms kUnseenAtMost = 50;
+  if (now - loop_.LastWaitEnded() > kUnseenAtMost && p->response_sink->HasLeft())
+    return 0;
   return std::max(0.0, std::min(attempt->deadline, p->expires_at) - now);
 }
 
--- a/src/exchange/exchange.hpp
+++ b/src/exchange/exchange.hpp
@@ -37,6 +37,11 @@
 // The client side's end of a pull: it is told one final answer at most.
 class ResponseSink {
  public:
+  /// Looks whether the client has left, though nothing was told of it yet. False where that can't
+  /// be seen.
+  virtual bool HasLeft() {
+    return false;
+  }
   virtual void Finished(const std::string& tag, std::string body) = 0;
   virtual void Unchanged(const std::string& tag) = 0;
   virtual void Declined(Ms retry_after) = 0;
--- a/src/loop/loop.cpp
+++ b/src/loop/loop.cpp
@@ -100,6 +100,7 @@
   bool timer_is_due = !timers_.empty() && timers_.begin()->first.first <= now();
   if (left && now() >= looked_at_all_ + kTimeout && (count > 0 || timer_is_due))
     count = LookAtAll(polled, since);
+  last_wait_ended_ = now();
   // The patient ones first: what shows there is a client that leaves, and whatever else came with
   // it must not begin a thing for it any more. Harm without: after a standstill of this process, an
   // attempt begun as long after its client left.
--- a/src/loop/loop.hpp
+++ b/src/loop/loop.hpp
@@ -48,6 +48,10 @@
     buried_.push_back(std::move(what));
   }
 
+  /// When the last wait for descriptors returned: what has happened to them since is not seen yet.
+  Ms LastWaitEnded() const {
+    return last_wait_ended_;
+  }
   void turn(Ms longest);  // waits for events or timers, at most that long, and handles them
   void Run() {
     while (!stopped_)
@@ -76,6 +80,7 @@
   Environment& environment_;
   Ms skipped_ = 0;
   Ms looked_at_all_ = 0;
+  Ms last_wait_ended_ = 0;
   bool stopped_ = false;
   std::uint64_t last_ = 0;
   std::vector<Watch> by_fd_;
