--- a/src/logic/health.hpp
+++ b/src/logic/health.hpp
@@ -1,5 +1,4 @@
-// Health: which machines may be asked, which are set aside for what failed there, and how they come
-// back.
+// Health: which servers may be asked, which are ejected for what failed there, and how they return.
 #pragma once
 #include "logic/load.hpp"
 
@@ -47,8 +46,7 @@
   // rests for a moment.
   static constexpr int kStrikesOut = 2;  // one failure may be chance, two in a row are not
   void Strike(Machine& m, int by = 1) {
-    constexpr Ms kFirstPause = kSecond / 4,
-                 kLongestPause = 4 * kSecond;  // short beside the list's own delay
+    constexpr Ms kFirstPause = kSecond / 4, kLongestPause = 4 * kSecond;
     m.strikes += by;
     m.answers = 0;
     m.trial_out = false;
--- a/src/logic/load.hpp
+++ b/src/logic/load.hpp
@@ -1,5 +1,4 @@
-// Load: how many transfers a machine or the link carries (its room), how many are out (its tally),
-// its level.
+// Load: how many transfers a server or the link carries, how many are out, its utilisation.
 #pragma once
 #include "logic/roster.hpp"
 
@@ -19,8 +18,7 @@
   // to what goes by size. Guards against slow, pausing and overrated machines. Harm: a slow way to
   // clients.
   double Carries(const Room& r) const {
-    constexpr Ms kFade =
-        5 * kSecond;  // a slow machine is asked again within seconds, by a few pulls first
+    constexpr Ms kFade = 5 * kSecond;  // a slow server is asked again within seconds
     double usual =
         std::pow(std::max(1.0, r.nominal / r.fits), 1 - std::exp((r.learnt_at - now) / kFade));
     return std::max(0.25, r.fits * usual);
@@ -33,8 +31,7 @@
     double stretch = std::max(1.0, took / (own * usual));
     r.fits = Carries(r);
     r.learnt_at = now;
-    double step =
-        std::clamp(0.05 * stretch, 0.1, 0.3);  // the plainer the sign, the larger the step
+    double step = std::clamp(0.05 * stretch, 0.1, 0.3);  // the plainer, the larger
     if (stretch > 1.5)
       r.fits += step * (std::min(held / stretch, r.fits) - r.fits);
     if (stretch < 1.25)
@@ -47,8 +44,7 @@
   // as we had on average, since they are sent alike. Guards against one leg looking like dozens
   // where many share. Harm: what only other fronts send is not seen, and a swing shows late.
   double MeanOf(const Tally& t, int sharing) const {
-    constexpr Ms kEach = kSecond / 5,
-                 kMost = 4 * kSecond;  // the rarer our legs, the longer it takes
+    constexpr Ms kEach = kSecond / 5, kMost = 4 * kSecond;
     return t.mean +
            (t.out - t.mean) * (1 - std::exp((t.at - now) / std::min(kEach * sharing, kMost)));
   }
@@ -106,8 +102,8 @@
     double said = std::clamp(Reported(report, f.link_report), 0.0, 100.0);
     if (link_notified || !std::isfinite(said))
       return;  // a peer's word
-    link_said =
-        link_said_at > kLongAgo ? link_said + 0.5 * (said - link_said) : said;  // reports are noisy
+    double before = link_said_at > kLongAgo ? link_said : said;
+    link_said = before + 0.5 * (said - before);  // reports are noisy
     link_said_at = now;
   }
 };
--- a/src/logic/memories.hpp
+++ b/src/logic/memories.hpp
@@ -1,13 +1,11 @@
-// Memories: what is learnt of objects and offerings: rates, omega, ranks (the design's ordinary
-// path), sizes.
+// Memories: what is learnt of objects and classes: rates, omega, ranks, sizes.
 #pragma once
 #include "logic/purges.hpp"
 
 namespace dunlinwick::logic {
 
 struct Memories : Part {
-  static constexpr Ms kCountAgeing =
-      30 * kSecond;  // long beside any idle window, short beside a fashion
+  static constexpr Ms kCountAgeing = 30 * kSecond;  // long beside any idle window
   static constexpr Ms kLongestOmega = 4 * kCountAgeing;
   const Purges& purges;
   std::vector<ClassState> class_states{};
@@ -46,10 +44,9 @@
     p.sending = w.mean_sending;
     if (p.size_kb > 0 && f.stream_kb_per_ms > 0) {
       p.sending = p.size_kb / f.stream_kb_per_ms;
-      // An object's parts come in a row and are of one size: a hundred pulls tell of six objects,
-      // and a mean that was low by half sent a cold cache twice its share. Harm: it follows a new
-      // mix in minutes.
-      constexpr int kSteady = 500;  // some thirty objects
+      // An object's parts come in a row and are of one size: five hundred are some thirty objects.
+      // Harm: it follows a new mix in minutes.
+      constexpr int kSteady = 500;
       w.sendings_seen = std::min(w.sendings_seen + 1, kSteady);
       w.mean_sending += (p.sending - w.mean_sending) / w.sendings_seen;
     }
@@ -61,8 +58,7 @@
   // objects, or from another cache than the part's last; omega stays within the fresh time. Else a
   // deploy's misses cut it at all fronts.
   void LearnOmega(const Request& p, const Attempt& attempt, bool hit) const {
-    constexpr double kStep =
-        0.02;  // fifty answers move it by e: seconds of traffic, not single surprises
+    constexpr double kStep = 0.02;  // fifty answers move it by e
     ClassState& w = *p.class_state;
     if (attempt.at != p.last_at || p.gap <= 0 || purges.at(p) > kLongAgo)
       return;
--- a/src/logic/purges.hpp
+++ b/src/logic/purges.hpp
@@ -5,8 +5,7 @@
 namespace dunlinwick::logic {
 
 struct Purges : Part {
-  const Ms kept =
-      2 * f.purge_done;  // twice: a fill may lay down an old copy late, and the cap costs nothing
+  const Ms kept = 2 * f.purge_done;                // a fill may lay down an old copy late
   std::unordered_map<std::uint64_t, Ms> purged{};  // object or group: when; emptied after `kept`
   // The fleet's recalls, of offerings too: emptied as they are lifted, and as many as its record
   // holds.
--- a/src/logic/roster.hpp
+++ b/src/logic/roster.hpp
@@ -1,5 +1,4 @@
-// Roster: the list of machines, how warm each is, and the order in which an object is asked of
-// them.
+// Roster: the list of servers, how warm each is, and the order in which an object is asked of them.
 #pragma once
 #include "logic/memories.hpp"
 
@@ -101,8 +100,7 @@
   std::vector<Machine*> InOrder(const std::vector<Machine*>& from, std::uint64_t object) const {
     std::vector<std::pair<double, Machine*>> scored;
     for (Machine* m : from) {
-      double u = Inside(
-          Mixed(Mixed(object) ^ Mixed(m->cache)));  // ids differ, so parents order on their own
+      double u = Inside(Mixed(Mixed(object) ^ Mixed(m->cache)));
       scored.emplace_back(-std::log(u) / (m->weight * Warmth(*m)), m);
     }
     return Sorted(std::move(scored));
--- a/src/logic/sources.hpp
+++ b/src/logic/sources.hpp
@@ -1,5 +1,4 @@
-// Sources: where a miss is filled from, and what fills tell of their sources' pace and of the
-// origin.
+// Sources: where a miss is filled from, and what fills tell of their sources and of the origin.
 #pragma once
 #include "logic/choice.hpp"
 
@@ -51,12 +50,10 @@
   // ask a parent for what it holds, else are declined. Harm: a lasting change of pace is first
   // taken for trouble.
   bool SparesOrigin(const Request& p) const {
-    constexpr double kSlow = 3,
-                     kLook = 0.1;  // calm answers vary by less; a tenth shows when it is calm again
+    constexpr double kSlow = 3, kLook = 0.1;
     if (originWait <= kSlow * origin_calm)
       return false;
-    bool late =
-        originWait + p.sending > p.agreed_at - now;  // what it sends comes too late to be worth it
+    bool late = originWait + p.sending > p.agreed_at - now;
     return Drawn() > (late ? kLook : kSlow * origin_calm / originWait);
   }
   void LearnOrigin(Ms waited) {
@@ -71,13 +68,11 @@
   // fronts crowd, whose legs no front can count. Harm: the same objects move on at all fronts, and
   // are fetched anew there.
   double ShareOf(const Machine& m) const {
-    constexpr Ms kWhole =
-        50 * kSecond;  // forgiven at leisure where nothing is asked of it any more
+    constexpr Ms kWhole = 50 * kSecond;  // until it is forgiven where nothing is asked of it
     return std::min(1.0, m.share + std::min(kWhole, now - m.share_at) / kWhole);
   }
   void Shift(Machine& from, const Attempt& attempt, double stretch) const {
-    constexpr double kLeast = 0.05, kCut = 0.7,
-                     kGrow = 0.02;  // about one fill in ten is then a stretched one
+    constexpr double kLeast = 0.05, kCut = 0.7, kGrow = 0.02;
     if (attempt.sent_at < from.cut_at)
       return;
     bool crowded = stretch > 2;
@@ -92,14 +87,12 @@
   // fading, or by a leg still out. Guards against slow sources, asked once in seconds at size.
   // Harm: a busy second moves objects.
   double PaceOf(const Machine& m, bool held) const {
-    constexpr Ms kFade =
-        30 * kSecond;  // a front at size asks a source once in seconds; 15 s won less
+    constexpr Ms kFade = 30 * kSecond;  // many replicas ask a source once in seconds each
     Ms at = held ? m.held_at : m.pace_at;
     return 1 + ((held ? m.held_pace : m.pace) - 1) * std::exp((at - now) / kFade);
   }
   bool InTime(const Request& p, const Machine& m, bool held = false) const {
-    constexpr double kSpare =
-        1.2;  // a pace is a mean of unlike fills; 1.0 and 1.3 won less on six draws
+    constexpr double kSpare = 1.2;  // a pace is a mean of unlike fills
     if (f.remarks)
       return true;
     double pace = PaceOf(m, held);
@@ -122,8 +115,7 @@
     }
     if (!f.remarks)
       from.pace = PaceOf(from, false);
-    double step =
-        f.remarks ? 0.1 : 0.8;  // the last ten fills; the last one or two where they are rare
+    double step = f.remarks ? 0.1 : 0.8;  // of the last ten fills; of one or two
     from.pace += step * (std::max(1.0, took / own) - from.pace);
     from.pace_at = now;
     double best = from.pace;
@@ -134,8 +126,7 @@
     if (load.LinkKnown())
       best = std::min(best, std::max(1.0, load.LinkLevel()));  // none beside a lone one
     load.Learn(from.room, load.Together(from.attempts, f.fronts) + 1, own, took, best);
-    double grow =
-        f.remarks ? 1.05 : 1.02;  // slower by lengths alone: one too large costs many late fills
+    double grow = f.remarks ? 1.05 : 1.02;  // slower where it goes by lengths alone
     if (!load.link_notified && from.pace <= 1.25 * best)
       load.Learn(load.link, load.Together(load.fills, f.zone_replicas) + 1, own, took, 1, grow);
   }
