In overload a class's largest requests are no longer shed before all others

Callers saw: at 1.3 times what caches carry, classes were answered to 0.9, and their largest requests hardly or not at all. Cause, by refusals counted by reason and size (new: dunlinwick_refused_total, and the play's print): utilisation, the link and the price on places each shed by a request's own size (19,209 of 21,536, 5,475 of 9,302 and 15,159 of 19,340 refused were over twice their class's mean), and nothing looked at what the class got. Now each step of sizes of a class is owed 0.6 of the class's admitted share; once that adds up to one admission, the next request of the step is bound by utilisation and link at 3, whatever its size, and not by the price. Only where no server of the zone is ejected, failing, draining or in slow start, nor was ejected in the last 10 s.

--- a/src/exchange/counters.hpp
+++ b/src/exchange/counters.hpp
@@ -1,7 +1,10 @@
 // What a front takes in, sends and answers, counted since its start.
 #pragma once
+#include <array>
 #include <cstdint>
 
+#include "logic.hpp"
+
 namespace dunlinwick::exchange {
 
 struct Counters {
@@ -40,6 +43,8 @@
   Count discovery_connections = 0;
   Count short_of_descriptors = 0;
   Count reloads = 0;
+  /// Of `declined`: why, and by the request's size beside its class's mean.
+  std::array<std::array<Count, kSizeBands>, kRefusalReasons> refused{};
 };
 
 }  // namespace dunlinwick::exchange
--- a/src/exchange/exchange.cpp
+++ b/src/exchange/exchange.cpp
@@ -170,6 +170,7 @@
   if (!p || !p->response_sink || p->streaming >= 0)
     return;
   ++counters.declined;
+  ++counters.refused[static_cast<std::size_t>(a.reason)][static_cast<std::size_t>(a.size)];
   Close(a.request)->Declined(a.retry_after);
 }
 
--- a/src/front/exposition.cpp
+++ b/src/front/exposition.cpp
@@ -3,6 +3,7 @@
 #include <prometheus/collectable.h>
 #include <prometheus/text_serializer.h>
 
+#include <array>
 #include <iterator>
 
 namespace dunlinwick::front {
@@ -54,21 +55,49 @@
      &Counters::short_of_descriptors},
     {"reloads", "new configurations taken", &Counters::reloads},
 };
-static_assert(std::size(kRows) * sizeof(Counters::Count) == sizeof(Counters),
+static_assert(std::size(kRows) * sizeof(Counters::Count) + sizeof(Counters::refused) ==
+                  sizeof(Counters),
               "each counter is told");
 
+constexpr std::array<const char*, kRefusalReasons> kReasons{
+    "deadline",    "admission", "places",    "no_endpoint", "slow_start",
+    "utilisation", "link",      "no_source", "attempts"};
+constexpr std::array<const char*, kSizeBands> kSizes{"small", "usual", "large"};
+
+// Only what was counted: most reasons never come.
+prometheus::MetricFamily Refused(const Counters& counters) {
+  prometheus::MetricFamily family{"dunlinwick_refused_total",
+                                  "pulls answered 503, by reason and by size beside their class's "
+                                  "mean (large: over twice, small: under half)",
+                                  prometheus::MetricType::Counter,
+                                  {}};
+  for (std::size_t reason = 0; reason < kRefusalReasons; ++reason) {
+    for (std::size_t size = 0; size < kSizeBands; ++size) {
+      const Counters::Count count = counters.refused[reason][size];
+      if (count == 0)
+        continue;
+      prometheus::ClientMetric metric;
+      metric.label = {{"reason", kReasons[reason]}, {"size", kSizes[size]}};
+      metric.counter.value = static_cast<double>(count);
+      family.metric.push_back(std::move(metric));
+    }
+  }
+  return family;
+}
+
 class Gathered final : public prometheus::Collectable {
  public:
   explicit Gathered(const Counters& counters) : counters_(counters) {}
   std::vector<prometheus::MetricFamily> Collect() const override {
     std::vector<prometheus::MetricFamily> all;
-    all.reserve(std::size(kRows));
+    all.reserve(std::size(kRows) + 1);
     for (const Row& row : kRows) {
       prometheus::ClientMetric metric;
       metric.counter.value = static_cast<double>(counters_.*row.count);
       std::string name = std::string("dunlinwick_").append(row.name).append("_total");
       all.push_back({std::move(name), row.help, prometheus::MetricType::Counter, {metric}});
     }
+    all.push_back(Refused(counters_));
     return all;
   }
 
--- a/src/logic.hpp
+++ b/src/logic.hpp
@@ -247,9 +247,30 @@
   std::uint32_t request = 0;
   int attempt = 0;
 };
+enum class RefusalReason {
+  kDeadline,     // its time is up
+  kAdmission,    // the fleet comes back from a loss, and lets in a share only
+  kPlaces,       // clients' places are short, and it earns little for the time it would take one
+  kNoEndpoint,   // no server may be asked
+  kSlowStart,    // the servers that may be asked are in slow start, and their budgets are spent
+  kUtilisation,  // the servers are fuller than it can bear
+  kLink,         // the link is fuller than it can bear, and it has to be filled
+  kNoSource,     // no source may fill it
+  kAttempts      // no further attempt is allowed, or would help
+};
+constexpr std::size_t kRefusalReasons = 9;
+// The size of a request beside the mean of its class.
+enum class SizeBand {
+  kSmall,  // up to half of it
+  kUsual,
+  kLarge  // over twice as much
+};
+constexpr std::size_t kSizeBands = 3;
 struct DeclineRequest {
   std::uint32_t request = 0;
   Ms retry_after = 0;
+  RefusalReason reason = RefusalReason::kDeadline;
+  SizeBand size = SizeBand::kUsual;
 };
 struct AbandonRequest {
   std::uint32_t request = 0;
--- a/src/logic/choice.hpp
+++ b/src/logic/choice.hpp
@@ -1,5 +1,5 @@
-// Choice: which cache a pull's next leg goes to, how crowded it may be, and whether the pull gets a
-// place.
+// Choice: which cache a request's next attempt goes to, how full it may be, and whether it is let
+// in.
 #pragma once
 #include "logic/cold.hpp"
 #include "logic/health.hpp"
@@ -13,6 +13,7 @@
   double mean_payoff = 1;
   double mean_work = 100;
   double place_price = 0;
+  RefusalReason refusal = RefusalReason::kNoEndpoint;  // why the last request got no attempt
   std::vector<double> shares{};  // of pulls, by zone; empty: all stay in the own
 
   Machine* CacheFor(const Request& p) {
@@ -22,11 +23,20 @@
   }
   Machine* Among(const Request& p, const std::vector<Machine*>& caches) {
     std::vector<Machine*> open;
-    for (Machine* m : load.roster.InOrder(caches, p.object))
-      if (health.Judge(*m) && !p.HasFailed(m) && MayGo(p, *m) && cold.Affords(*m, cold.WorkOf(p)))
+    refusal = RefusalReason::kNoEndpoint;
+    for (Machine* m : load.roster.InOrder(caches, p.object)) {
+      if (!health.Judge(*m) || p.HasFailed(m) || !MayGo(p, *m))
+        continue;
+      if (cold.Affords(*m, cold.WorkOf(p)))
         open.push_back(m);
+      else
+        refusal = RefusalReason::kSlowStart;
+    }
     Machine* at = FirstInBounds(open, p);
-    return at && load.level(*at) <= MaxUtilisation(p) ? at : nullptr;
+    if (at && load.level(*at) <= MaxUtilisation(p))
+      return at;
+    refusal = at ? RefusalReason::kUtilisation : refusal;
+    return nullptr;
   }
 
   // Bounded load: the first in hash order that is at most a quarter over the mean level, or at one
@@ -51,13 +61,16 @@
   // time. A poor payoff for the work takes some off: in overload those go first that earn least for
   // it.
   double MaxUtilisation(const Request& p) const {
-    constexpr double kMargin =
-        0.8;  // the level is an estimate, and rises while the pull is under way
+    constexpr double kLeast = 1.2, kOwed = 3.0, kMost = 5.0;
+    constexpr double kMargin = 0.8;  // the level rises while the request is under way
+    if (p.is_owed)
+      return kOwed;
     double stretch = kMargin * (p.agreed_at - now) / std::max(p.sending, 1.0);
-    return std::clamp(stretch * std::clamp(std::pow(ValueDensity(p), 0.2), 0.7, 1.3), 1.2, 5.0);
+    double bearable = stretch * std::clamp(std::pow(ValueDensity(p), 0.2), 0.7, 1.3);
+    return std::clamp(bearable, kLeast, kMost);
   }
-  double ValueDensity(
-      const Request& p) const {  // payoff for the work, beside that of the usual pull
+  // Payoff for the work, beside that of the usual request.
+  double ValueDensity(const Request& p) const {
     return (p.class_state->payoff / std::max(p.sending, 1.0)) /
            (mean_payoff / std::max(mean_work, 1.0));
   }
@@ -79,11 +92,10 @@
     mean_payoff += 0.01 * (p.class_state->payoff - mean_payoff);  // about the last hundred pulls
     mean_work += 0.01 * (p.sending - mean_work);
     cold.Meet(p.sending);
-    constexpr double kAim = 0.9, kStep = 0.002,
-                     kSwing = 4;  // settles in a second; hundreds swing by a tenth
+    constexpr double kAim = 0.9, kStep = 0.002, kSwing = 4;
     double over = f.places > 0 ? static_cast<double>(requests.size()) / f.places - kAim : -1;
     place_price = std::clamp(place_price + kStep * over, 0.0, 2.0);
-    return ValueDensity(p) < place_price + kSwing * over;
+    return !p.is_owed && ValueDensity(p) < place_price + kSwing * over;
   }
 
   // Rule 2: where a further leg of this pull may go.
--- a/src/logic/legs.hpp
+++ b/src/logic/legs.hpp
@@ -1,18 +1,18 @@
-// Legs: a pull from its coming to its answer: legs sent, what their ends say, whose fault it was,
-// giving up.
+// A request from its arrival to its answer: attempts, what their ends say, whose fault it was.
 #pragma once
+#include "logic/size_fairness.hpp"
 #include "logic/sources.hpp"
 
 namespace dunlinwick::logic {
 
 struct Attempts : Part {
   static constexpr Ms kTheWay = 5;  // connection and network inside a location, on the long side
-  static constexpr Ms kBeforeExpiry =
-      4;  // two ticks: the final answer goes out before the client leaves
+  static constexpr Ms kBeforeExpiry = 4;  // for the answer's way to the client
   Memories& memories;
   Load& load;
   Choice& choice;
   Sources& sources;
+  SizeFairness fairness;
 
   void Arrive(const RequestCame& e) {
     if (e.request_class >= static_cast<int>(memories.class_states.size()) ||
@@ -25,10 +25,13 @@
     memories.Meet(p);
     p.agreed_at = now + std::min(w.agreed + w.agreed_stretch * p.sending, w.expiry);
     ExpireIn(p, e.ttl);
+    fairness.Arrive(p);
     if (!choice.LetsIn(p))
-      GiveUp(p, std::max(w.mean_sending, choice.admitted.come_back));
+      GiveUp(p, std::max(w.mean_sending, choice.admitted.come_back), RefusalReason::kAdmission);
+    else if (choice.CrowdsOut(p))
+      GiveUp(p, w.mean_sending, RefusalReason::kPlaces);
     else
-      choice.CrowdsOut(p) ? GiveUp(p, w.mean_sending) : Tend(p);
+      Tend(p);
     requests.Forget(p);
   }
 
@@ -39,8 +42,7 @@
 
   void Send(Request& p, Machine& at, Machine* source) {
     Attempt attempt{&at, source == &at ? nullptr : source, now};
-    // A fill passes on what it gets: held up by a full link or a crowded source it takes little of
-    // the cache.
+    // A fill that a full link or a crowded source holds up takes little of the cache.
     if (p.known_miss && attempt.source)
       attempt.load = 1 / std::max({1.0, load.LinkLevel(), attempt.source->pace});
     bool outside = at.role != Role::kStore || (attempt.source && !attempt.source->IsCache());
@@ -75,6 +77,7 @@
     // Two machines that call it an error are believed: a third would say the same.
     auto erred = std::count_if(p.attempts.begin(), p.attempts.end(),
                                [](const Attempt& l) { return l.erred; });
+    choice.refusal = RefusalReason::kAttempts;
     if (static_cast<int>(p.attempts.size()) >= f.most_attempts || p.spared || erred >= 2)
       return false;
     Machine* origin = load.roster.origin;
@@ -85,8 +88,11 @@
     }
     load.Look();
     Machine* at = choice.CacheFor(p);
-    Machine* source = at ? sources.SourceFor(p, *at) : nullptr;
-    if (!at || (!source && p.known_miss))
+    if (!at)
+      return false;
+    Machine* source = sources.SourceFor(p, *at);
+    choice.refusal = source ? RefusalReason::kLink : RefusalReason::kNoSource;
+    if (!source && p.known_miss)
       return false;  // nothing can fill it: a further look only adds legs
     // When the link fills up, a pull first only looks; a miss is filled while it can be in time.
     // Guards against any surge of misses (cold caches, purges, scans, large objects). Harm: one
@@ -111,9 +117,9 @@
     if (p.ended || p.streaming)
       return;
     if (now >= p.expires_at - kBeforeExpiry)
-      return GiveUp(p, 0);
+      return GiveUp(p, 0, RefusalReason::kDeadline);
     if (!p.AttemptOut() && !SendNext(p))
-      GiveUp(p, p.class_state->mean_sending);
+      GiveUp(p, p.class_state->mean_sending, choice.refusal);
   }
 
   void Wake(std::uint32_t request) {
@@ -123,21 +129,21 @@
     }
   }
 
-  void GiveUp(Request& p, Ms retry_after) {
+  void GiveUp(Request& p, Ms retry_after, RefusalReason reason) {
     bool proven = std::all_of(p.attempts.begin(), p.attempts.end(),
                               [](const Attempt& l) { return l.never_ran; });
     bool repeats = p.class_state->effect == Effect::kIdempotentWithKey &&
                    p.class_state->span == Span::kEverywhere;
     retry_after *= Drawn(0.75, 1.25);  // so that clients don't return in step
     if (proven || repeats || p.class_state->effect == Effect::kIdempotent)
-      Act(DeclineRequest{p.request, std::min(retry_after, f.retry_limit)});
+      Act(DeclineRequest{p.request, std::min(retry_after, f.retry_limit), reason, p.Band()});
     else
       Act(AbandonRequest{p.request});
+    fairness.Refused(p);
     Finish(p);
   }
 
-  // The pull has its final answer: losers are called off, and the pull goes when its last leg is
-  // in.
+  // The request has its final answer: it goes when its last attempt is in.
   void Finish(Request& p) {
     p.ended = true;
     CallOff(p, -1);
@@ -181,8 +187,10 @@
     if (e.ending == Ending::kFinished || e.ending == Ending::kMiss || e.ending == Ending::kFull)
       attempt.at->last_good = std::max(attempt.at->last_good, attempt.sent_at);
     e.ending == Ending::kFinished ? Credit(p, attempt, e) : Blame(p, attempt, e);
-    if (e.final && !p.ended)
+    if (e.final && !p.ended) {
+      fairness.Answered(p);
       Finish(p);
+    }
     Tend(p);
     requests.Forget(p);
   }
--- a/src/logic/router.cpp
+++ b/src/logic/router.cpp
@@ -18,7 +18,7 @@
   logic::Health health{part, load};
   logic::Choice choice{part, load, cold, health};
   logic::Sources sources{part, purges, load, choice};
-  logic::Attempts attempts{part, memories, load, choice, sources};
+  logic::Attempts attempts{part, memories, load, choice, sources, {part, load}};
 
   Mind(const StoreSettings& s, std::uint64_t seed)
       : turn{.chance = std::knuth_b(seed)}, figures(s) {
--- a/src/logic_state/records.hpp
+++ b/src/logic_state/records.hpp
@@ -2,6 +2,8 @@
 // them.
 #pragma once
 #include <algorithm>
+#include <array>
+#include <cmath>
 #include <deque>
 
 #include "logic.hpp"
@@ -17,10 +19,19 @@
   kForeign
 };
 
+constexpr int kSizeSteps = 16;  // each of them larger by the root of two
+
 // One offering's figures, with what has been learnt of it.
 struct ClassState : RequestClass {
   Ms mean_sending = 0;
   Ms omega = 0;
+  double admitted_share = 1;              // of its requests, lately
+  std::array<double, kSizeSteps> owed{};  // admissions, by size step
+  double& OwedTo(Ms sending) {
+    const double step = 2 * std::log2(std::max(sending, 1.0) / std::max(mean_sending, 1.0));
+    return owed[static_cast<std::size_t>(
+        std::clamp(step + kSizeSteps / 2.0, 0.0, kSizeSteps - 1.0))];
+  }
   int sendings_seen = 0;  // of this offering's pulls; counts up to where its mean is steady
 };
 
@@ -109,8 +120,15 @@
   bool known_miss = false;
   bool spared = false;
   bool held_only = false;
+  bool is_owed = false;  // an admission, whatever its size
+  double claimed = 0;    // of what its size step was owed
   std::vector<Attempt> attempts;
   std::vector<Machine*> failed;  // caches and sources that failed this pull
+  SizeBand Band() const {
+    return sending > 2 * class_state->mean_sending   ? SizeBand::kLarge
+           : sending < class_state->mean_sending / 2 ? SizeBand::kSmall
+                                                     : SizeBand::kUsual;
+  }
   bool HasFailed(const Machine* m) const {
     return std::count(failed.begin(), failed.end(), m) > 0;
   }
--- a/tests/exposition_test.cpp
+++ b/tests/exposition_test.cpp
@@ -35,8 +35,9 @@
     }
     double value = 0;
     REQUIRE((words >> value));
-    CHECK(helped.count(first) == 1);
-    CHECK(typed.count(first) == 1);
+    const std::string family = first.substr(0, first.find('{'));  // labels follow
+    CHECK(helped.count(family) == 1);
+    CHECK(typed.count(family) == 1);
     CHECK(notified.emplace(first, value).second);
   }
   CHECK(notified.size() == kMany);
--- a/tests/large_objects_test.cpp
+++ b/tests/large_objects_test.cpp
@@ -1,6 +1,7 @@
 // What of a class's largest objects is answered beside the whole class (crossing 8): one Router
 // before a model of caches, parents and a link, in virtual time and by seeds that stay.
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <cstdlib>
 #include <map>
@@ -71,6 +72,7 @@
   int open = 0;
   std::size_t turned_away = 0;
   std::size_t declined = 0;
+  std::array<std::array<std::size_t, kSizeBands>, kRefusalReasons> refusals{};
 
   explicit Site(const Play& p) : play(p), chance(p.seed) {
     settings.request_classes.clear();
@@ -160,6 +162,7 @@
         due.emplace(f.now + kTick, ProbeEnded{p->cache, true, 1, {}});
       if (auto* d = std::get_if<DeclineRequest>(&a)) {
         declined += requests[d->request - 1].open;
+        ++refusals[static_cast<std::size_t>(d->reason)][static_cast<std::size_t>(d->size)];
         Close(requests[d->request - 1]);
       }
       if (auto* d = std::get_if<AbandonRequest>(&a))
@@ -271,6 +274,19 @@
   }
 };
 
+// Refused requests by reason, each with the small, the usual and the large ones of their class.
+void PrintRefusals(const Site& site) {
+  constexpr const char* kReasons[kRefusalReasons] = {"deadline",    "admission",  "places",
+                                                     "no endpoint", "slow start", "utilisation",
+                                                     "link",        "no source",  "attempts"};
+  for (std::size_t reason = 0; reason < kRefusalReasons; ++reason) {
+    auto [small, usual, large] = site.refusals[reason];
+    if (small + usual + large > 0)
+      std::printf("  refused for %s: %zu small, %zu usual, %zu large\n", kReasons[reason], small,
+                  usual, large);
+  }
+}
+
 // Each mix of sizes, load, link and places, by some seeds; every play is judged by itself.
 int LargeObjectsAreAnswered() {
   int broken = 0;
@@ -304,6 +320,8 @@
                     i, s.count, s.all, s.largest, s.largest / s.all, s.next, s.next / s.all, worth,
                     site.turned_away, site.declined);
             }
+            if (notified)
+              PrintRefusals(site);
           }
   std::printf("worth in time, by load: %.4f %.4f %.4f\n", worths[0] / counts[0],
               worths[1] / counts[1], worths[2] / counts[2]);
--- a/tests/support/simulated_front.hpp
+++ b/tests/support/simulated_front.hpp
@@ -3,6 +3,7 @@
 #pragma once
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <cstdio>
 #include <cstdlib>
 #include <memory>
@@ -148,6 +149,12 @@
     if (answered_at == 0 && !answers_at.empty())
       answered_at = answers_at.front();
   }
+  /// A request's time counts from when its last byte is written to a connection that was accepted
+  /// by the machine. A dial that finds the listener's queue full is repeated a second later.
+  void Drained() override {
+    if (answers_at.empty())
+      sent_at = std::max(sent_at, process->loop().now());
+  }
   void Ended(loop::DisconnectReason) override {
     ended_by_front = true;
   }
