--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -14,6 +14,7 @@
 #include <functional>
 
 #include "rig/harness.hpp"
+#include "support/port_block.hpp"
 
 using namespace dunlinwick;
 using fleet::Cue;
@@ -43,6 +44,7 @@
   const char* name;
   loop::Loop loop;
   std::string folder;
+  testing::PortBlock ports;
   std::unique_ptr<fleet::Harness> h;
   Ms from = 0;
 
@@ -52,11 +54,10 @@
               ("fleet-test-" + std::to_string(::getpid()) + what))
                  .string();
     std::filesystem::create_directories(folder);
-    int port = 10000 + (::getpid() % 50) * 1000;  // two runs at once do not meet
     fleet::FleetFile f = fleet::ReadFleetText(
         "test", R"({"zones": [{"name": "a", "region": "north"}, {"name": "b", "region": "north"},
       {"name": "c", "region": "south"}], "front_zones": ["a", "a", "b", "b", "c"], "lasting_ms": 300, "pulls_per_s": 20,
-      "port": )" + std::to_string(port) +
+      "port": )" + std::to_string(ports.First()) +
                     (on_peers ? ", \"peers\": true}" : "}"));
     h = std::make_unique<fleet::Harness>(loop, f,
                                          fleet::Programs{programs[1], programs[2], "", folder}, 7);
--- a/tests/layer_test.cpp
+++ b/tests/layer_test.cpp
@@ -30,6 +30,7 @@
 #include "record.pb.h"
 #include "record/entry.hpp"
 #include "rig/harness.hpp"
+#include "support/port_block.hpp"
 
 using namespace dunlinwick;
 
@@ -39,6 +40,7 @@
   const char* name;
   loop::Loop loop;
   std::string folder;
+  testing::PortBlock ports;
   std::unique_ptr<fleet::Harness> h;
   std::uint64_t number = 0;
   std::vector<std::pair<std::string, std::uint64_t>>
@@ -50,12 +52,11 @@
               ("layer-test-" + std::to_string(::getpid()) + what))
                  .string();
     std::filesystem::create_directories(folder);
-    int port = 10000 + (::getpid() % 50) * 1000;  // two runs at once do not meet
     auto f = fleet::ReadFleetText(
         "test",
         R"({"zones": [{"name": "a", "region": "north"}, {"name": "b", "region": "north"}, {"name": "c", "region": "south"}],
       "fronts": 9, "pulls_per_s": 0, "layer": true, "steer": false, "port": )" +
-            std::to_string(port) + "}");
+            std::to_string(ports.First()) + "}");
     h = std::make_unique<fleet::Harness>(loop, f,
                                          fleet::Programs{programs[1], programs[2], "", folder}, 7);
     if (before)
--- a/tests/owner_fleet_test.cpp
+++ b/tests/owner_fleet_test.cpp
@@ -15,6 +15,7 @@
 
 #include "rig/harness.hpp"
 #include "rig/history.hpp"
+#include "support/port_block.hpp"
 
 using namespace dunlinwick;
 using owner::Happened;
@@ -28,6 +29,7 @@
   const char* name;
   loop::Loop loop;
   std::string folder;
+  testing::PortBlock ports;
   std::unique_ptr<fleet::Harness> h;
   std::uint64_t steps;
 
@@ -36,11 +38,10 @@
               ("owner-test-" + std::to_string(::getpid()) + what))
                  .string();
     std::filesystem::create_directories(folder);
-    int port = 10000 + (::getpid() % 50) * 1000;  // two runs at once do not meet
     fleet::FleetFile f = fleet::ReadFleetText(
         "test",
         R"({"zones": [{"name": "a", "region": "north"}], "fronts": 5, "pulls_per_s": 0, "port": )" +
-            std::to_string(port) + (on_peers ? ", \"peers\": true" : "") +
+            std::to_string(ports.First()) + (on_peers ? ", \"peers\": true" : "") +
             R"(, "owner": {"works": [{"name": "sweep", "steps": )" + std::to_string(steps) +
             R"(, "each_ms": 40}, {"name": "push", "steps": )" + std::to_string(steps) +
             R"(, "each_ms": 40}]}})");
