--- a/src/logic/size_fairness.hpp
+++ b/src/logic/size_fairness.hpp
@@ -13,7 +13,7 @@
     constexpr double kLeastShare = 0.6;
     double& owed = p.class_state->OwedTo(p.sending);
     owed += kLeastShare * p.class_state->admitted_share;
-    p.is_owed = owed >= 1 && AreServersHealthy();
+    p.is_owed = owed >= 1 && f.remarks && AreServersHealthy();
     p.claimed = std::min(owed, 1.0);
     owed -= p.claimed;
   }
@@ -27,7 +27,8 @@
 
  private:
   static constexpr double kStep = 0.02;  // of the last fifty requests
-  // Where servers fail, hang or start, or did lately, what is large is sent to them in vain.
+  // Where servers fail, hang or start, or did lately, what is large is sent to them in vain. Where
+  // answers don't tell what became of a fill (`remarks`), neither is known well enough.
   bool AreServersHealthy() const {
     constexpr Ms kLately = 10 * kSecond;
     return std::all_of(load.roster.stores.begin(), load.roster.stores.end(), [&](const Machine* m) {
