--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -33,7 +33,8 @@
   std::atomic<int> spoilt{0}, good{0};
   auto answer = [&](Server& server, LinkPtr link, const Want& want) {
     const bool write = want.Field("profile") == "order-handover";
-    const std::string body = write ? "done " + want.id : BytesOf(want.Field("thing"), want.Field("nth"));
+    const std::string body =
+        write ? "done " + want.id : BytesOf(want.Field("thing"), want.Field("nth"));
     std::size_t stated = body.size();
     // One good answer in twenty is spoilt: shorter or longer than its bytes.
     if (place.trouble && !write && draw(20) == 0) {
@@ -43,12 +44,13 @@
     char fields[120] = "-";
     if (!write)
       std::snprintf(fields, sizeof fields, "entity=t1,issued=%.0f,remark=local", Now() - 1000);
-    std::string bytes = want.id + " HIT " + fields + " " + std::to_string(stated) + "\r\n" + body + "\r\n";
+    std::string bytes =
+        want.id + " HIT " + fields + " " + std::to_string(stated) + "\r\n" + body + "\r\n";
     scheduler.At(Now() + 10 + draw(30), [&, link, bytes, want, stated, size = body.size()] {
       if (link->GaveUp(want.id))
         return;
-      record.Write("%s answers %s with %zu bytes, length %zu%s", server.id().c_str(), want.id.c_str(), size,
-                   stated, stated == size ? "" : " (spoilt)");
+      record.Write("%s answers %s with %zu bytes, length %zu%s", server.id().c_str(),
+                   want.id.c_str(), size, stated, stated == size ? "" : " (spoilt)");
       ++(stated == size ? good : spoilt);
       link->Send(bytes);
     });
@@ -57,12 +59,15 @@
   std::vector<std::string> entries;
   for (int i = 0; i < 4; ++i) {
     servers.push_back(std::make_unique<Server>("cache-" + std::to_string(i + 1), record));
-    entries.push_back(Entry(servers.back()->id(), servers.back()->Address(), "store", "box", 0, "in_service", 24));
+    entries.push_back(Entry(servers.back()->id(), servers.back()->Address(), "store", "box", 0,
+                            "in_service", 24));
   }
   servers.push_back(std::make_unique<Server>("parent-1", record));
-  entries.push_back(Entry("parent-1", servers.back()->Address(), "hub", "parent", 1, "in_service", 80));
+  entries.push_back(
+      Entry("parent-1", servers.back()->Address(), "hub", "parent", 1, "in_service", 80));
   servers.push_back(std::make_unique<Server>("origin", record));
-  entries.push_back(Entry("origin", servers.back()->Address(), "hub", "origin", 2, "in_service", 1));
+  entries.push_back(
+      Entry("origin", servers.back()->Address(), "hub", "origin", 2, "in_service", 1));
   for (auto& server : servers)
     server->on_want = answer;
   const std::string list = Pool(1, true, entries);
@@ -108,21 +113,27 @@
     if (asked.answer.body == right)
       continue;
     ++wrong;
-    std::string more = asked.answer.body.size() > right.size() ? asked.answer.body.substr(right.size()) : "";
+    std::string more =
+        asked.answer.body.size() > right.size() ? asked.answer.body.substr(right.size()) : "";
     for (char& c : more)
       if (c < ' ' || c > '~')
         c = '~';
     const bool others = more.find(" HIT ") != more.npos || more.find("[") != more.npos;
     foreign += others;
     record.Write("BROKEN: %s is served whole with %zu bytes in place of %zu%s%s", asked.id.c_str(),
-                 asked.answer.body.size(), right.size(), more.empty() ? "" : ", the rest is ", more.c_str());
+                 asked.answer.body.size(), right.size(), more.empty() ? "" : ", the rest is ",
+                 more.c_str());
   }
-  record.Write("%zu requests: %d served whole, %d cut off, %d refused or failed; %d spoilt answers; served with wrong bytes %d, "
-               "of these with bytes of another answer %d",
-               done.size(), served, cut, refused, spoilt.load(), wrong, foreign);
-  std::printf("%zu requests: %d served whole, %d cut off, %d refused or failed; %d spoilt answers of caches; %d served with wrong bytes, "
-              "%d of them with bytes of another answer\n",
-              done.size(), served, cut, refused, spoilt.load(), wrong, foreign);
+  record.Write(
+      "%zu requests: %d served whole, %d cut off, %d refused or failed; %d spoilt answers; served "
+      "with wrong bytes %d, "
+      "of these with bytes of another answer %d",
+      done.size(), served, cut, refused, spoilt.load(), wrong, foreign);
+  std::printf(
+      "%zu requests: %d served whole, %d cut off, %d refused or failed; %d spoilt answers of "
+      "caches; %d served with wrong bytes, "
+      "%d of them with bytes of another answer\n",
+      done.size(), served, cut, refused, spoilt.load(), wrong, foreign);
   if (served == 0)
     return 2;
   return wrong > 0 ? 1 : 0;
--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -1,8 +1,8 @@
 // A purge while discovery answers slowly after a new configuration.
 //
 // The front gets a new configuration by SIGHUP, in which `board` names another address. That board
-// is crowded: it writes what a `watch` asks for 1.8 s after it was asked. All events of the case are
-// in it from then on, among them purges. By the pages they count as told 4 s after SIGHUP.
+// is crowded: it writes what a `watch` asks for 1.8 s after it was asked. All events of the case
+// are in it from then on, among them purges. By the pages they count as told 4 s after SIGHUP.
 #include "../common/site.hpp"
 
 using namespace rig;
@@ -40,8 +40,8 @@
     const std::string object = want.Field("thing");
     Copy& copy = copies[server.id()][object];
     const Ms within = want.Number("within");
-    if (auto purge = purged.find(object);
-        purge != purged.end() && copy.issued < purge->second && now - purge->second > kPurgeDone - 100)
+    if (auto purge = purged.find(object); purge != purged.end() && copy.issued < purge->second &&
+                                          now - purge->second > kPurgeDone - 100)
       copy.issued = 0;
     const bool holds = copy.issued > 0 && (within <= 0 || now - copy.issued <= within);
     if (!holds && want.Field("miss").empty()) {
@@ -55,8 +55,8 @@
     read_at[want.id] = want.at;
     lock.unlock();
     char fields[160];
-    std::snprintf(fields, sizeof fields, "entity=t%.0f,issued=%.0f,remark=%s", issued, std::floor(issued),
-                  holds ? "local" : "pulled");
+    std::snprintf(fields, sizeof fields, "entity=t%.0f,issued=%.0f,remark=%s", issued,
+                  std::floor(issued), holds ? "local" : "pulled");
     scheduler.At(now + (holds ? 20 : 60), [&record, &server, link, want, f = std::string(fields)] {
       record.Write("%s answers %s HIT %s", server.id().c_str(), want.id.c_str(), f.c_str());
       link->Answer(want.id, "HIT", f, std::string(2640, 'b'));
@@ -66,12 +66,15 @@
   std::vector<std::string> entries;
   for (int i = 0; i < 4; ++i) {
     servers.push_back(std::make_unique<Server>("cache-" + std::to_string(i + 1), record));
-    entries.push_back(Entry(servers.back()->id(), servers.back()->Address(), "store", "box", 0, "in_service", 24));
+    entries.push_back(Entry(servers.back()->id(), servers.back()->Address(), "store", "box", 0,
+                            "in_service", 24));
   }
   servers.push_back(std::make_unique<Server>("parent-1", record));
-  entries.push_back(Entry("parent-1", servers.back()->Address(), "hub", "parent", 1, "in_service", 80));
+  entries.push_back(
+      Entry("parent-1", servers.back()->Address(), "hub", "parent", 1, "in_service", 80));
   servers.push_back(std::make_unique<Server>("origin", record));
-  entries.push_back(Entry("origin", servers.back()->Address(), "hub", "origin", 2, "in_service", 1));
+  entries.push_back(
+      Entry("origin", servers.back()->Address(), "hub", "origin", 2, "in_service", 1));
   for (auto& server : servers)
     server->on_want = answer;
   const std::string list = Pool(1, true, entries);
@@ -100,7 +103,8 @@
     std::lock_guard lock(mutex);
     const Ms ms = std::floor(Now());
     purged[name(i)] = ms;
-    second.Add("\"flush\":{\"asset\":\"" + name(i) + "\",\"ms\":" + std::to_string(static_cast<long long>(ms)) + "}");
+    second.Add("\"flush\":{\"asset\":\"" + name(i) +
+               "\",\"ms\":" + std::to_string(static_cast<long long>(ms)) + "}");
   }
   const Ms end = hup + 9000;
   for (Ms next = Now(); Now() < end; SleepUntil(next += 25)) {
@@ -128,14 +132,21 @@
     ++judged;
     if (issued_of[asked.id] < purged[asked.object]) {
       ++broken;
-      record.Write("BROKEN: %s, sent to the cache %.0f ms after SIGHUP, has a copy of %s issued %.0f ms before its purge",
-                   asked.id.c_str(), sent - hup, asked.object.c_str(), purged[asked.object] - issued_of[asked.id]);
+      record.Write(
+          "BROKEN: %s, sent to the cache %.0f ms after SIGHUP, has a copy of %s issued %.0f ms "
+          "before its purge",
+          asked.id.c_str(), sent - hup, asked.object.c_str(),
+          purged[asked.object] - issued_of[asked.id]);
     }
   }
-  record.Write("%zu requests, %d sent later than the grace after the purges counted as told; %d answered from older copies",
-               done.size(), judged, broken);
-  std::printf("%d requests sent later than the grace after the purges counted as told, %d answered from copies older than the purge\n",
-              judged, broken);
+  record.Write(
+      "%zu requests, %d sent later than the grace after the purges counted as told; %d answered "
+      "from older copies",
+      done.size(), judged, broken);
+  std::printf(
+      "%d requests sent later than the grace after the purges counted as told, %d answered from "
+      "copies older than the purge\n",
+      judged, broken);
   if (judged == 0)
     return 2;
   return broken > 0 ? 1 : 0;
--- a/review/common/site.hpp
+++ b/review/common/site.hpp
@@ -6,7 +6,8 @@
 
 /// The settings of the site file's classes, in the form of a configuration.
 inline std::string SiteSettings(bool probing = true) {
-  std::string text = R"({"azs":["hub","store"],"flavors":["box","parent","origin"],"zone":1,"balancers":3,
+  std::string text =
+      R"({"azs":["hub","store"],"flavors":["box","parent","origin"],"zone":1,"balancers":3,
 "discovery":"push","weights":"nominal","countedBy":"request",
 "classes":[
 {"name":"video-parts","aim":500,"aimStretch":2,"giveUp":5000,"importance":2,"idempotency":"repeatable","group":"all","memorySpan":5000,"lateWorth":0.15,"stream":false},
@@ -126,7 +127,7 @@
     }
     Ms late = asked.answer.at - asked.sent_at - asked.timeout;
     record_.Write("client has %s for %s after %.1f ms (%.1f ms %s its time)",
-                  asked.answer.status ? std::to_string(asked.answer.status).c_str()
+                  asked.answer.status   ? std::to_string(asked.answer.status).c_str()
                   : asked.answer.closed ? "a closed connection"
                                         : "no answer",
                   asked.id.c_str(), asked.answer.at - asked.sent_at, std::abs(late),
