Metric: watches of discovery given up before their first line

Need: a front that hears nothing of its discovery service logs one line, "connection ended (receive timeout) after event N". It does not tell a service that is silent in the middle of an answered watch from one that has not answered any, and later failures are not logged.

Done: `board_unanswered` counts watches that the front itself gave up before their first line. No decision changes.

--- a/src/board/board.cpp
+++ b/src/board/board.cpp
@@ -88,6 +88,7 @@
 void DiscoveryClient::StartWatch() {
   watching_ = true;
   connected_at_ = loop_.now();
+  has_received_line_ = false;
   ++exchange_.counters.discovery_connections;
   connection_ = std::make_shared<loop::Connection>(loop_, *this, address_, terms_.connect_timeout);
   connection_->SetReadLimit(kMaxLineBytes);
@@ -110,6 +111,7 @@
   constexpr Ms kMaxSilenceLimit = 7000;
   if (!connection_)
     return;
+  exchange_.counters.unanswered_watches += !has_received_line_;
   silence_limit_ =
       connection_->in.size() > 0 ? std::min(2 * silence_limit_, kMaxSilenceLimit) : kSilenceLimit;
   connection_->Disconnect(DisconnectReason::kReceiveTimeout);
@@ -131,6 +133,7 @@
       line.pop_back();
     if (!HandleLine(line))
       return connection_->Disconnect(DisconnectReason::kMalformed);
+    has_received_line_ = true;
     // The silence timer restarts on complete lines only. If any byte restarted it, a line that
     // arrives byte by byte would keep a stuck watch alive indefinitely.
     silence_limit_ = kSilenceLimit;
--- a/src/board/board.hpp
+++ b/src/board/board.hpp
@@ -46,6 +46,7 @@
   loop::Ms connected_at_ = 0;
   loop::Ms silence_limit_;  // how long this connection may be without a line
   bool watching_ = false;
+  bool has_received_line_ = false;  // on this connection
   std::shared_ptr<loop::Connection> connection_;
 };
 
--- a/src/front/exposition.cpp
+++ b/src/front/exposition.cpp
@@ -57,6 +57,8 @@
     {"purges", "purges passed on", &Counters::purges},
     {"board_connections", "connections opened to the notice board",
      &Counters::discovery_connections},
+    {"board_unanswered", "watches of the discovery service given up before their first line",
+     &Counters::unanswered_watches},
     {"short_of_descriptors", "clients not accepted for want of a descriptor",
      &Counters::descriptor_shortages},
     {"reloads", "new configurations taken", &Counters::config_reloads},
