Discovery: a service that answers a watch late is heard

What callers saw: while discovery took 1.8 s to answer each `watch` after a new configuration, nothing it announced reached the front.

Cause: DiscoveryClient gave a watch up after 1.6 s without a line, also the first line of a connection, and asked again with the same limit, for ever. Only a partly received line doubled the limit.

Change: the first line of a connection has 2.5 s: a call to discovery is answered or refused within 2 s, after the time to connect (0.4 s). A watch given up before its first line doubles the time of the next, up to 7 s, as a partly received line did. An answered watch is still given up after 1.6 s.

Looked at for the same cause: connect and probe times (settings), liveness checks (answered at once by the protocol), a client's first request (stated), recovery's phases (go on without), SWIM, fragments between fronts, gaps of log replicas, dunlinctl: left. Suspected only, by reading: lease requests (owner/agent.cpp, 1.2 s) and a new writer's fetch of its tail (record/leader_writer.cpp, 1.6 s), where every answer takes longer than that.

--- a/src/board/board.cpp
+++ b/src/board/board.cpp
@@ -12,7 +12,10 @@
 
 constexpr std::size_t kMaxLineBytes =
     1 << 20;  // including the line break: a full list of several thousand endpoints
-constexpr Ms kSilenceLimit = 1600;  // without a line
+constexpr Ms kSilenceLimit = 1600;    // without a line, after the first one; one is due each second
+constexpr Ms kFirstLineLimit = 2500;  // the service answers or refuses a call within 2 s, after the
+                                      // time to connect
+constexpr Ms kMaxFirstLineLimit = 7000;  // by then an event counts as announced to everyone
 constexpr Ms kFirstBackoff = 20,
              kMaxBackoff = 500;  // short, since events take effect even if they are not received;
                                  // long enough not to overload a failing discovery service
@@ -24,7 +27,7 @@
       exchange_(exchange),
       terms_(terms),
       address_(address),
-      silence_limit_(kSilenceLimit) {}
+      silence_limit_(kFirstLineLimit) {}
 
 DiscoveryClient::~DiscoveryClient() {
   loop_.Cancel(timer_);
@@ -79,7 +82,7 @@
       Deliver(event, up_to_date_at_);
     }
   backoff_ = 0;
-  silence_limit_ = kSilenceLimit;
+  silence_limit_ = kFirstLineLimit;
   if (watching_)
     StartWatch();
   return true;
@@ -89,6 +92,7 @@
   watching_ = true;
   connected_at_ = loop_.now();
   has_received_line_ = false;
+  silence_limit_ = std::max(silence_limit_, kFirstLineLimit);
   ++exchange_.counters.discovery_connections;
   connection_ = std::make_shared<loop::Connection>(loop_, *this, address_, terms_.connect_timeout);
   connection_->SetReadLimit(kMaxLineBytes);
@@ -96,24 +100,24 @@
   RestartSilenceTimer();
 }
 
-// The service sends a line every second. After 1.6 seconds without one the client reconnects: a
-// line that was only late costs one connection, and events take effect whether they were received
-// or not.
+// The service sends a line every second once it has answered the watch. After `silence_limit_`
+// without one the client reconnects: a line that was only late costs one connection, and events
+// take effect whether they were received or not.
 void DiscoveryClient::RestartSilenceTimer() {
   loop_.Cancel(timer_);
   timer_ = loop_.RunAt(loop_.now() + silence_limit_, [this] { HandleSilence(); });
 }
 
-// If a line was partly received, the next connection gets twice the time, so that a long list
-// arrives over a slow link. The limit never exceeds the time after which an event counts as
-// announced to everyone. Without the doubling such a list would be cut off on every connection.
+// A watch that has not been answered, or whose line was partly received, may only be slow: the next
+// connection gets twice the time. With the same limit again each answer of a service that is slower
+// than that limit would be cut off, on every connection.
 void DiscoveryClient::HandleSilence() {
-  constexpr Ms kMaxSilenceLimit = 7000;
   if (!connection_)
     return;
   exchange_.counters.unanswered_watches += !has_received_line_;
-  silence_limit_ =
-      connection_->in.size() > 0 ? std::min(2 * silence_limit_, kMaxSilenceLimit) : kSilenceLimit;
+  const bool may_be_slow = !has_received_line_ || connection_->in.size() > 0;
+  if (may_be_slow)
+    silence_limit_ = std::min(2 * silence_limit_, kMaxFirstLineLimit);
   connection_->Disconnect(DisconnectReason::kReceiveTimeout);
 }
 
--- a/src/board/board.hpp
+++ b/src/board/board.hpp
@@ -44,7 +44,8 @@
   std::uint64_t timer_ = 0;
   loop::Ms backoff_ = 0;
   loop::Ms connected_at_ = 0;
-  loop::Ms silence_limit_;  // how long this connection may be without a line
+  loop::Ms silence_limit_;  // how long the connection may be without a line; between connections,
+                            // at least this long until the next one's first line
   bool watching_ = false;
   bool has_received_line_ = false;  // on this connection
   std::shared_ptr<loop::Connection> connection_;
--- a/tests/board_test.cpp
+++ b/tests/board_test.cpp
@@ -107,6 +107,18 @@
         d.loop.RunOnce(1);
     }
   }
+  // Waits for the given time, or until the client closes the connection. Returns whether it is
+  // open.
+  bool StaysOpen(Far& f, Ms time) {
+    constexpr Ms kStep = 50;
+    for (Ms end = d.loop.now() + time; d.loop.now() < end && !f.over;) {
+      d.loop.AdvanceClock(std::min(kStep, end - d.loop.now()));
+      for (int iterations = 0; iterations < 3; ++iterations)
+        d.loop.RunOnce(1);
+      f.Read();
+    }
+    return !f.over;
+  }
   // Sends a byte every tenth of a second for the given time; stops when the client closes the
   // connection, and returns when that was.
   int SendSlowly(Far& f, int tenths) {
@@ -213,6 +225,70 @@
   }
 }
 
+// Guards against a watch that is given up before a crowded service answers it, on every connection:
+// after a new configuration nothing was received, and purged copies were served.
+void AServiceThatAnswersLateIsHeardOnTheFirstConnection() {
+  constexpr Ms kCallTimeout = 2000;  // by then the service has answered a call or refused it
+  for (bool switched : {false, true}) {
+    Watch w;
+    FarListener other;
+    Far peer = std::move(w.peer);
+    if (switched) {
+      peer.Send("1\n");
+      w.StaysOpen(peer, 100);
+      assert(w.b.SwitchTo(other.at, Known("", 1)));
+      peer = w.Next(other);
+    }
+    std::uint64_t connections = w.counters.discovery_connections;
+    assert(w.StaysOpen(peer, kCallTimeout));
+    peer.Send(Purge(2));
+    w.ExpectDelivered(2);
+    assert(w.counters.discovery_connections == connections && w.counters.unanswered_watches == 0);
+  }
+}
+
+// The same failure where the connection before had brought lines, and was closed by the service.
+void ALateAnswerIsHeardAfterAWatchThatBroke() {
+  constexpr Ms kCallTimeout = 2000;
+  Watch w;
+  w.peer.Send(Purge(2));
+  w.ExpectDelivered(2);
+  w.peer.fd.Reset();
+  Far again = w.Next(w.far, 2);
+  assert(w.StaysOpen(again, kCallTimeout));
+  again.Send(Purge(3));
+  w.ExpectDelivered(3);
+}
+
+// The same failure with answers that are later than the first limit: heard before the time at which
+// an event counts as announced has passed twice, and with few calls.
+void AServiceThatAnswersVeryLateIsHeardEventually() {
+  constexpr Ms kAnswerAfter = 4500;
+  constexpr Ms kAnnounced = 7000;
+  Watch w;
+  Ms began = w.d.loop.now();
+  while (!w.StaysOpen(w.peer, kAnswerAfter)) {
+    assert(w.counters.discovery_connections < 4);
+    w.peer = w.Next(w.far);
+  }
+  w.peer.Send(Purge(2));
+  w.ExpectDelivered(2);
+  assert(w.d.loop.now() - began < 2 * kAnnounced);
+  assert(w.counters.unanswered_watches == w.counters.discovery_connections - 1);
+}
+
+// A watch that was answered and falls silent is given up as soon as before, however long its first
+// line took: each time it is the next connection that brings the news.
+void AnAnsweredWatchThatFallsSilentIsGivenUpSoon() {
+  constexpr Ms kHeartbeat = 1000;
+  Watch w;
+  assert(w.StaysOpen(w.peer, 2 * kHeartbeat));
+  w.peer.Send("1\n");
+  assert(w.StaysOpen(w.peer, kHeartbeat) && !w.StaysOpen(w.peer, kHeartbeat));
+  w.Next(w.far);
+  assert(w.counters.unanswered_watches == 0);
+}
+
 // ---- lines and reads
 
 void AnEventSplitAtAnyByteCountsOnce() {
@@ -701,6 +777,13 @@
         {"a long first line is received eventually", ALongFirstLineIsReceivedEventually},
         {"no line is awaited longer than an event takes to become effective",
          NoLineIsAwaitedLongerThanAnEventTakesToBecomeEffective},
+        {"a service that answers late is heard on the first connection",
+         AServiceThatAnswersLateIsHeardOnTheFirstConnection},
+        {"a late answer is heard after a watch that broke", ALateAnswerIsHeardAfterAWatchThatBroke},
+        {"a service that answers very late is heard eventually",
+         AServiceThatAnswersVeryLateIsHeardEventually},
+        {"an answered watch that falls silent is given up soon",
+         AnAnsweredWatchThatFallsSilentIsGivenUpSoon},
         {"an event split at any byte counts once", AnEventSplitAtAnyByteCountsOnce},
         {"a gap in the middle of one read ends the connection", AGapInOneReadEndsTheConnection},
         {"a line is bounded however the reads are split", ALineIsBoundedHoweverTheReadsAreSplit},
