Streamed responses: the last byte waits until the length is known to be right

What callers saw: in a class that streams, a cache's answer with a wrong stated length came as a whole 200: 40 bytes short, or with the line end of the caches' protocol, or with bytes of another client's answer.

Cause: UpstreamConnection::ReadNext forwarded each byte of a body as it came and looked afterwards for the line end that follows the stated length. The abort then closed "short of the announced length" when nothing was short any more. With a stated length of 0 the head alone was a whole answer.

Change: the last byte of a body is forwarded only with the line end behind it; where both are in the buffer a wrong end is seen before any of the body goes on. An empty body is not streamed.

Looked at for the same cause, each holds its bytes until the frame is whole: answers of classes that don't stream, clients' requests, discovery's lines and lists, large messages between fronts, stored minimums and entries.

--- a/src/caches/caches.cpp
+++ b/src/caches/caches.cpp
@@ -23,6 +23,8 @@
   int moves = 0;                     // connections that ended while it was queued on them
 };
 
+constexpr std::string_view kBodyEnd = "\r\n";  // follows the stated number of bytes
+
 static const std::string kLivenessCheckId =
     "call";  // differs from the id of every request and probe
 
@@ -375,7 +377,11 @@
       return true;
     }
     if (body_left_ > 0) {
-      std::string_view chunk = bytes.substr(0, body_left_);
+      if (EndsAtWrongLength(bytes)) {
+        connection_.Disconnect(DisconnectReason::kMalformed);
+        return false;
+      }
+      std::string_view chunk = bytes.substr(0, ForwardableLength(bytes));
       if (chunk.empty())
         return false;
       if (InFlightMessage* message = FindCurrentMessage();
@@ -385,19 +391,34 @@
       connection_.in.Consume(chunk.size());
       return true;
     }
-    if (bytes.size() < 2)
+    if (bytes.size() < kBodyEnd.size())
       return false;
-    if (bytes.substr(0, 2) != "\r\n") {
+    if (EndsAtWrongLength(bytes)) {
       connection_.Disconnect(DisconnectReason::kMalformed);
       return false;
     }
-    connection_.in.Consume(2);
+    connection_.in.Consume(kBodyEnd.size());
     reading_response_ = false;
     trickle_checks_ = 0;
     OnResponseRead();
     return true;
   }
 
+  // Whether `bytes`, which begin with what is left of the body, show that its stated length is
+  // wrong.
+  bool EndsAtWrongLength(std::string_view bytes) const {
+    return bytes.size() >= body_left_ + kBodyEnd.size() &&
+           bytes.substr(body_left_, kBodyEnd.size()) != kBodyEnd;
+  }
+  // How much of the body in `bytes` may be forwarded. Its last byte is held back until the end
+  // behind it has arrived: only that shows that the stated length is right, and a client that has
+  // all bytes of a streamed response could not tell that they are the wrong ones.
+  std::size_t ForwardableLength(std::string_view bytes) const {
+    if (bytes.size() >= body_left_ + kBodyEnd.size())
+      return body_left_;
+    return std::min(bytes.size(), body_left_ - 1);
+  }
+
   // The message to which the response that is being read belongs; null if it was cancelled.
   InFlightMessage* FindCurrentMessage() {
     auto it = in_flight_.find(response_.id);
--- a/src/exchange/exchange.cpp
+++ b/src/exchange/exchange.cpp
@@ -321,9 +321,11 @@
   if (!attempt)
     return;
   attempt->body.reserve(length);
+  // An empty response is not streamed: its head alone would be a complete response, before the end
+  // behind the body has shown that the stated length is right.
   Request& request = *FindRequest(key.request);
   if (!request_classes_[static_cast<std::size_t>(request.metadata.request_class_index)].streams ||
-      !request.response_sink || request.streamed_attempt >= 0 ||
+      !request.response_sink || request.streamed_attempt >= 0 || length == 0 ||
       head.result != AttemptResult::kFinished || head.not_modified || head.entity_tag.empty() ||
       !head.has_issue_time)
     return;
--- a/src/exchange/exchange.hpp
+++ b/src/exchange/exchange.hpp
@@ -135,7 +135,8 @@
   void ShortenDeadline(std::uint32_t request_id, Ms deadline_at);
   bool IsOpen(std::string_view id) const;  // a request with that id has no final response yet
 
-  // Called by the transport.
+  // Called by the transport. It reports the last byte of a body only once the length of the body is
+  // known to be right, since a streamed response is forwarded as it is reported.
   void OnAttemptResponseStarted(AttemptKey key, const ResponseHead& head, std::size_t length);
   void OnAttemptResponseData(AttemptKey key, std::string_view data);
   void OnAttemptResponseComplete(AttemptKey key, const ResponseHead& head);
--- a/tests/upstream_answers_test.cpp
+++ b/tests/upstream_answers_test.cpp
@@ -124,6 +124,28 @@
   }
 };
 
+/// A request of a class that streams, in flight on a connection to the only server.
+struct StreamedResponse {
+  FarListener listener;
+  PoolFixture road;
+  RecordingResponseSink client;
+  Far server;
+
+  StreamedResponse() : road(MakeEndpointList({{"s-1", listener.at}}), StreamingSettings()) {
+    road.exchange.OnRequest(MakeNumberedRequest(1), client);
+    server = listener.Next(road.loop);
+    Until(road.loop, [&] { return server.Hears(RequestPrefix(1)); });
+  }
+  static DeploymentSettings StreamingSettings() {
+    DeploymentSettings settings = kit::Settings();
+    settings.request_classes[kVideo].streams = true;
+    return settings;
+  }
+  std::string HeadWithLength(std::size_t length) const {
+    return IdOf(1) + " HIT entity=t1,issued=1,remark=local " + std::to_string(length) + "\r\n";
+  }
+};
+
 }  // namespace
 
 TEST_CASE(
@@ -292,6 +314,101 @@
   }
 }
 
+// Guards against a streamed response whose stated length is wrong and that its client takes for a
+// complete one: bytes were missing, or belonged to the response to another request.
+TEST_CASE("a streamed response with a wrong length is never forwarded as a complete one") {
+  constexpr std::size_t kBodyBytes = 300;
+  const std::string body(kBodyBytes, 'x');
+  const std::string behind = AnswerTo(2, "two");
+  for (std::size_t stated : {std::size_t{1}, kBodyBytes - 40, kBodyBytes - 1, kBodyBytes + 1,
+                             kBodyBytes + 2, kBodyBytes + 3, kBodyBytes + 50})
+    for (std::size_t piece : {std::size_t{1}, std::size_t{7}, std::size_t{1000}}) {
+      CAPTURE(stated);
+      CAPTURE(piece);
+      StreamedResponse streamed;
+      const std::string answer = streamed.HeadWithLength(stated) + body + "\r\n" + behind;
+      const std::vector<std::string> aborted{"begun t1", "broke"};
+      for (std::size_t at = 0; at < answer.size() && !streamed.client.Is(aborted); at += piece) {
+        streamed.server.Send(answer.substr(at, piece));
+        streamed.road.RunIterations(2);
+        CHECK(streamed.client.body.size() < stated);
+      }
+      Until(streamed.road.loop, [&] { return streamed.client.notified.size() == 2; });
+      CHECK(streamed.client.Is(aborted));
+      CHECK(streamed.client.body.size() < stated);
+      CHECK(streamed.road.exchange.counters.malformed_responses == 1);
+    }
+}
+
+// The same failure where the connection ends, or falls silent, before the end of the body.
+TEST_CASE("a streamed response that stops before its end is never forwarded as a complete one") {
+  constexpr std::size_t kBodyBytes = 300;
+  constexpr Ms kSilence = 100;
+  for (const std::string behind : {"", "\r"})
+    for (bool closes : {true, false}) {
+      CAPTURE(behind);
+      CAPTURE(closes);
+      StreamedResponse streamed;
+      streamed.server.Send(streamed.HeadWithLength(kBodyBytes) + std::string(kBodyBytes, 'x') +
+                           behind);
+      Until(streamed.road.loop, [&] { return streamed.client.body.size() == kBodyBytes - 1; });
+      if (closes)
+        streamed.server.fd.Reset();
+      Until(streamed.road.loop, [&] {
+        streamed.road.loop.AdvanceClock(closes ? 0 : kSilence);
+        return streamed.client.notified.size() == 2;
+      });
+      CHECK(streamed.client.Is({"begun t1", "broke"}));
+      CHECK(streamed.client.body.size() == kBodyBytes - 1);
+    }
+}
+
+// The same failure with the stated length 0: the head alone is a complete response.
+TEST_CASE("a streamed response of no bytes begins only once its end has arrived") {
+  for (bool right : {true, false}) {
+    CAPTURE(right);
+    StreamedResponse streamed;
+    streamed.server.Send(streamed.HeadWithLength(0));
+    streamed.road.RunIterations();
+    CHECK(streamed.client.notified.empty());
+    streamed.server.Send(right ? "\r\n" : "xx\r\n");
+    if (right) {
+      Until(streamed.road.loop, [&] { return !streamed.client.notified.empty(); });
+      CHECK(streamed.client.Is({"200 t1"}));
+      CHECK(streamed.client.body.empty());
+    } else {
+      Until(streamed.road.loop,
+            [&] { return streamed.road.exchange.counters.malformed_responses == 1; });
+      for (const std::string& notified : streamed.client.notified) {
+        CAPTURE(notified);
+        CHECK(notified.substr(0, 3) != "200");
+        CHECK(notified.substr(0, 5) != "begun");
+      }
+    }
+  }
+}
+
+TEST_CASE("a streamed response is forwarded as it arrives, however its bytes are split") {
+  const std::string body = "0123456789";
+  for (std::size_t piece = 1; piece <= body.size() + 2; ++piece) {
+    CAPTURE(piece);
+    StreamedResponse streamed;
+    streamed.server.Send(streamed.HeadWithLength(body.size()));
+    Until(streamed.road.loop, [&] { return streamed.client.Is({"begun t1"}); });
+    const std::string rest = body + "\r\n";
+    for (std::size_t at = 0; at < rest.size(); at += piece) {
+      streamed.server.Send(rest.substr(at, piece));
+      const std::size_t sent = std::min(at + piece, rest.size());
+      const std::size_t due = sent == rest.size() ? body.size() : std::min(sent, body.size() - 1);
+      Until(streamed.road.loop, [&] { return streamed.client.body.size() == due; });
+      CHECK(streamed.client.body == body.substr(0, due));
+    }
+    Until(streamed.road.loop, [&] { return streamed.client.notified.size() == 2; });
+    CHECK(streamed.client.Is({"begun t1", "completed"}));
+    CHECK(streamed.client.body == body);
+  }
+}
+
 TEST_CASE("a response longer than its stated length reaches no request") {
   TwoInFlight open;
   std::string answer = AnswerTo(1, "one");
