Record: a subscriber takes responses that are later than its retry interval

What callers would see: at a replica whose log replicas all take over 0.4 s to respond, recalls never arrive; each response was dropped, since the next replica had been asked by then, and asking went on with the same interval for ever. Found in looking for the cause of the late discovery answers; not seen in operation.

Cause: Subscriber accepted only the response to its newest request, from the replica asked last.

Change: requests for the present position are remembered until one is answered validly, 16 at most, and whichever response comes first is taken. Asking the next replica after 0.4 s stays, so that a replica that is down is left as soon as before. The time of what is known counts from that request's sending.

Why it is safe: a response is taken once, for the position it was asked for, with its digest; it is at most 6.4 s late, far within the 30 s lease that keeps the tombstones it relies on.

Measured: record_test, three replicas that each respond after 0.9 s: not caught up within 60 s (virtual) before, caught up with every entry once now. Tried in thought only: doubling the interval; it would delay the return after a partition.

--- a/src/record/subscribers.cpp
+++ b/src/record/subscribers.cpp
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <deque>
 #include <random>
 
 #include "record/wire.hpp"
@@ -11,6 +12,8 @@
 
 namespace {
 constexpr std::size_t kMaxPositions = 65536;
+// 6 s of retries: far below the lease that keeps the tombstones a late response relies on.
+constexpr std::size_t kMaxUnansweredRequests = 16;
 std::size_t EncodedSize(const Entry& e) {
   return e.key.size() + e.value.size() + 40;
 }
@@ -245,10 +248,15 @@
   std::uint64_t sequence = 0;
   std::uint64_t received_bytes = 0;
   std::uint64_t rejected_responses = 0;
-  bool is_waiting = false;
+  struct SentRequest {
+    std::uint64_t sequence = 0;
+    Id replica = 0;
+    Ms sent_at = 0;
+  };
+  std::deque<SentRequest>
+      unanswered_requests;  // for the same position; emptied by a valid response
   bool has_response = false;
   Ms due_at = 0;
-  Ms request_sent_at = 0;
   Ms current_as_of = -1;
 
   void SelectNextReplica() {
@@ -266,11 +274,22 @@
     request.sequence = ++sequence;
     request.after = position;
     request.clean_horizon = clean_horizon;
-    is_waiting = true;
-    request_sent_at = now;
+    unanswered_requests.push_back({sequence, replicas[replica_index], now});
+    if (unanswered_requests.size() > kMaxUnansweredRequests)
+      unanswered_requests.pop_front();
     due_at = now + settings.retry_interval;
     callbacks.send_request(replicas[replica_index], request);
   }
+  std::optional<SentRequest> FindRequest(std::uint64_t request_sequence, Id replica) const {
+    for (const SentRequest& request : unanswered_requests)
+      if (request.sequence == request_sequence && request.replica == replica)
+        return request;
+    return std::nullopt;
+  }
+  void SelectReplica(Id replica) {
+    auto found = std::find(replicas.begin(), replicas.end(), replica);
+    replica_index = static_cast<std::size_t>(found - replicas.begin());
+  }
   bool IsValid(const SubscriptionResponse& response) const {
     if (response.after != position || response.up_to < response.after)
       return false;
@@ -305,7 +324,7 @@
   Impl& impl = *impl_;
   if (now < impl.due_at)
     return;
-  if (impl.is_waiting)
+  if (!impl.unanswered_requests.empty())
     impl.SelectNextReplica();
   impl.SendRequest(now, callbacks);
 }
@@ -313,9 +332,11 @@
 void Subscriber::Receive(Ms now, Id from, const SubscriptionResponse& response,
                          const Callbacks& callbacks) {
   Impl& impl = *impl_;
-  if (!impl.is_waiting || response.sequence != impl.sequence ||
-      impl.replicas[impl.replica_index] != from)
-    return;  // a delayed response or a duplicate
+  // A response that comes after the next replica was asked is taken too: otherwise nothing would be
+  // received from replicas that all take longer than the retry interval.
+  const std::optional<Impl::SentRequest> request = impl.FindRequest(response.sequence, from);
+  if (!request)
+    return;  // a duplicate, or the request has been answered by another replica
   if (!impl.IsValid(response)) {
     // Keeps waiting and asks the next replica, but not immediately: this one may corrupt every
     // response.
@@ -323,7 +344,8 @@
     impl.due_at = std::min(impl.due_at, now + impl.settings.poll_interval);
     return;
   }
-  impl.is_waiting = false;
+  impl.unanswered_requests.clear();
+  impl.SelectReplica(from);
   if (response.start_over) {
     impl.position = impl.snapshot_end = impl.clean_horizon = 0;
     impl.has_response = false;
@@ -347,8 +369,8 @@
   }
   if (impl.IsCaughtUp()) {
     if (response.committed >= impl.committed)
-      impl.current_as_of = std::max(
-          impl.current_as_of, impl.request_sent_at - static_cast<Ms>(response.leader_silence_ms));
+      impl.current_as_of = std::max(impl.current_as_of,
+                                    request->sent_at - static_cast<Ms>(response.leader_silence_ms));
     if (static_cast<Ms>(response.leader_silence_ms) > impl.settings.max_leader_silence)
       impl.SelectNextReplica();
     impl.due_at = now + impl.settings.poll_interval;
--- a/src/record/subscribers.hpp
+++ b/src/record/subscribers.hpp
@@ -10,10 +10,12 @@
 // subscriber that was away longer than its lease and is behind the tombstone horizon (and began
 // before those tombstones were removed: SubscriptionRequest::clean_horizon) is told to start over,
 // never silently resumed: its state is void, because a recalled object would reappear. A slow
-// subscriber has one request in flight, so nothing queues up for it; what it holds back is the
-// removal of tombstones, for as long as its lease runs. A restart of a replica drops its leases; at
-// worst that causes a start-over. Bounds: `max_subscribers` leases at a replica; one response
-// (`batch_bytes`) in flight per subscriber.
+// subscriber asks for one position at a time, so nothing queues up for it; what it holds back is
+// the removal of tombstones, for as long as its lease runs. Where no response comes it asks the
+// next replica after `retry_interval` and takes whichever response comes first. A restart of a
+// replica drops its leases; at worst that causes a start-over. Bounds: `max_subscribers` leases at
+// a replica; one response
+// (`batch_bytes`) per request, 16 requests without a response remembered by a subscriber.
 #pragma once
 #include <functional>
 #include <map>
--- a/tests/record_test.cpp
+++ b/tests/record_test.cpp
@@ -1101,6 +1101,56 @@
   CHECK(Found(unchecked, 200, 1) > 0);
 }
 
+// Guards against a subscriber that never receives anything where every replica takes longer than
+// its retry interval: each response was dropped, since the next replica had been asked by then.
+TEST_CASE("subscribers: replicas that all respond later than the retry interval are read") {
+  constexpr Ms kResponseTime = 900;
+  constexpr Ms kTick = 20;
+  constexpr int kReplicas = 3;
+  MemoryLogStorage disk;
+  Log log(1, MakeSettings(), disk, 1);
+  auto list = Mixed(40, 31);
+  CHECK(log.AppendEntries(0, list));
+  log.Commit(40);
+  SubscriberSettings settings;
+  settings.batch_bytes = 200;
+  REQUIRE(settings.retry_interval < kResponseTime);
+  std::vector<SubscriptionServer> servers;
+  std::vector<Id> replicas;
+  for (Id id = 1; id <= kReplicas; ++id) {
+    servers.emplace_back(log, settings, 0);
+    replicas.push_back(id);
+  }
+  struct Delayed {
+    Ms due_at = 0;
+    Id from = 0;
+    SubscriptionResponse response;
+  };
+  std::deque<Delayed> on_the_way;
+  std::vector<Entry> received;
+  Ms now = 0;
+  Subscriber::Callbacks callbacks{[&](Id to, const SubscriptionRequest& request) {
+                                    auto response = servers[to - 1].HandleRequest(now, request);
+                                    if (response)
+                                      on_the_way.push_back({now + kResponseTime, to, *response});
+                                  },
+                                  [&](const Entry& entry) { received.push_back(entry); },
+                                  [] {
+                                  }};
+  Subscriber subscriber(9, 1, replicas, settings, 0, 5, 0);
+  for (; now < 60000 && !subscriber.IsCaughtUp(); now += kTick) {
+    subscriber.Tick(now, callbacks);
+    while (!on_the_way.empty() && on_the_way.front().due_at <= now) {
+      Delayed next = std::move(on_the_way.front());
+      on_the_way.pop_front();
+      subscriber.Receive(now, next.from, next.response, callbacks);
+    }
+  }
+  CHECK(subscriber.IsCaughtUp());
+  CHECK(received == All(log));
+  CHECK(subscriber.CurrentAsOf() <= now - kResponseTime);
+}
+
 TEST_CASE(
     "subscribers: snapshot, then tail, during writes and compaction; slow, absent and too many "
     "subscribers; unexpected messages") {
