Clients: reading resumes when a rejected request leaves a full buffer

Cause: a connection stops reading at 64 KiB buffered, and only UpdateWatch resumes it. A request that is rejected at once is answered, and UpdateWatch called, while it is still in the buffer; it is taken out afterwards with no further update.

Evidence, a trace (taken out again) of the new test on the simulated network: reading stops with 81,826 bytes, five updates at 1,001 ms find the buffer full, the next comes at 3,751 ms. Nothing was read meanwhile, so neither deadlines nor a queue are at fault.

Change: Connection::ConsumeInput and DiscardInput renew the watch; the HTTP server uses them. Discarding in a lingering close that sends nothing had the same gap. Connections to servers and discovery consume only within the report of new bytes, which renews the watch.

Failed try: a test with eight padded GETs in place of a write passed before too, since each rejection's own answer renews the watch for those before. The fixture's deployment got a class of writes for it.

--- a/src/clients/clients.cpp
+++ b/src/clients/clients.cpp
@@ -215,7 +215,7 @@
     server_.RemoveConnection(number_);
   }
   void DiscardInput() {
-    connection_.in.Release();
+    connection_.DiscardInput();
     pipelined_.Clear();
   }
   /// Records when the bytes that were just read arrived. They may have waited in the kernel: for
@@ -374,7 +374,7 @@
     HandleRequest(parsed.request, arrived_at);
     current_request_size_ = 0;
     if (!closing_)
-      connection_.in.Consume(parsed.request.size);
+      connection_.ConsumeInput(parsed.request.size);
     if (request_open_ && connection_.in.size() > 0) {
       RecordPipelinedRequests();
       ShortenOpenRequestDeadline();
--- a/src/loop/connection.cpp
+++ b/src/loop/connection.cpp
@@ -138,6 +138,16 @@
   UpdateWatch();
 }
 
+void Connection::ConsumeInput(std::size_t size) {
+  in.Consume(size);
+  UpdateWatch();
+}
+
+void Connection::DiscardInput() {
+  in.Release();
+  UpdateWatch();
+}
+
 std::uint64_t Connection::Send(std::string message, bool more) {
   return Enqueue({.bytes = std::move(message)}, more);
 }
--- a/src/loop/connection.hpp
+++ b/src/loop/connection.hpp
@@ -78,7 +78,11 @@
   bool HasReadAll() const {
     return has_read_all_;
   }
-  void SetReadLimit(std::size_t limit);      // stops reading while the buffer holds this much
+  void SetReadLimit(std::size_t limit);  // stops reading while the buffer holds this much
+  /// Removes `size` bytes, or all, from the buffer, and resumes reading if it had stopped at the
+  /// read limit. For use outside OnBytesReceived(), after which reading resumes by itself.
+  void ConsumeInput(std::size_t size);
+  void DiscardInput();
   void SetRarelyPolled(bool rarely_polled);  // set while only its end is expected
   void Disconnect(DisconnectReason reason);  // reported in the next iteration of the loop
   void ShutdownWrite();                      // shuts down the sending side; reading continues
--- a/tests/connection_test.cpp
+++ b/tests/connection_test.cpp
@@ -1,4 +1,4 @@
-// A connection on sockets: which messages were written when it ended.
+// A connection on sockets: which messages were written when it ended, and when it is read.
 #include "kit.hpp"
 
 using namespace kit;
@@ -28,6 +28,36 @@
          !c.IsUnsent(first));
 }
 
+// Guards against a connection that is not read any more once its buffer was full, though it was
+// emptied since.
+void ReadingResumesOnceAFullBufferIsEmptied() {
+  constexpr std::size_t kReadLimit = 1 << 14;
+  for (bool discards : {false, true}) {
+    loop::Loop loop;
+    FarListener server;
+    struct Owner final : loop::Connection::Owner {
+      void OnBytesReceived() override {}
+      void OnDisconnected(loop::DisconnectReason) override {}
+    } owner;
+    loop::Connection c(loop, owner, server.at, 1000);
+    c.SetReadLimit(kReadLimit);
+    Far peer = server.Next(loop);
+    peer.Send(std::string(2 * kReadLimit, 'x') + "last");
+    Until(loop, [&] { return c.in.size() >= kReadLimit; });
+    for (int iterations = 0; iterations < 20; ++iterations)
+      loop.RunOnce(1);
+    assert(!c.in.bytes().ends_with("last"));
+    Until(loop, [&] {
+      if (discards)
+        c.DiscardInput();
+      else
+        c.ConsumeInput(c.in.size());
+      loop.RunOnce(1);
+      return c.in.bytes().ends_with("last");
+    });
+  }
+}
+
 }  // namespace
 
 int main() {
@@ -36,7 +66,9 @@
     void (*run)();
   };
   for (Case c :
-       {Case{"a partly written message is distinguished", APartlyWrittenMessageIsDistinguished}}) {
+       {Case{"a partly written message is distinguished", APartlyWrittenMessageIsDistinguished},
+        {"reading resumes once a full buffer is emptied",
+         ReadingResumesOnceAFullBufferIsEmptied}}) {
     std::puts(c.name);
     std::fflush(stdout);
     c.run();
--- a/tests/pipelined_requests_test.cpp
+++ b/tests/pipelined_requests_test.cpp
@@ -41,6 +41,10 @@
     unsent_ += deployment_.NextRequest(deadline, headers);
     requests_.push_back({deployment_.last_id, deployment_.net.now(), deadline});
   }
+  void AddWrite(Ms deadline, std::size_t body_bytes) {
+    unsent_ += deployment_.NextWrite(deadline, body_bytes);
+    requests_.push_back({deployment_.last_id, deployment_.net.now(), deadline});
+  }
   void Write() {
     deployment_.Send(client_, unsent_);
     unsent_.clear();
@@ -126,6 +130,21 @@
   pipeline.CheckDeadlinesPassedOn();
 }
 
+// Guards against a connection that is not read any more: a write that was rejected at once left the
+// full input buffer, and the rest of the next one waited unread for 2.5 s, beyond its deadline.
+TEST_CASE("a write behind a full input buffer is read once a rejected one has left it") {
+  constexpr std::size_t kWriteBytes = 47000;  // two of these exceed the 64 KiB that are buffered
+  Deployment deployment(ServerMode::kHang);
+  Pipeline pipeline(deployment);
+  pipeline.Add(3000);
+  pipeline.AddWrite(1000, kWriteBytes);
+  pipeline.AddWrite(1500, kWriteBytes);
+  pipeline.Write();
+  deployment.RunFor(7000);
+  pipeline.CheckAnswersInTime();
+  pipeline.CheckDeadlinesPassedOn();
+}
+
 TEST_CASE("a request that arrived while the process was suspended forwards the time left") {
   constexpr Ms kStandstill = 400;
   Deployment deployment(ServerMode::kAnswer);
--- a/tests/support/simulated_front.hpp
+++ b/tests/support/simulated_front.hpp
@@ -181,8 +181,9 @@
          R"(},"board":"10.0.0.4:5050","known":{"rev":1,"notices":[{"rev":1,"pool":{"full":true,"servers":[)" +
          servers +
          R"(]}}]},"settings":{"zone":1,"azs":["hub","e-1"],"flavors":["box","parent","origin"],"balancers":1,)"
-         R"("classes":[{"name":"video","aim":500,"giveUp":3000,"idempotency":"repeatable"}],)"
-         R"("familyInfo":{"streamKbPerS":8800,"parentKind":1,"sourceKind":2},)"
+         R"("classes":[{"name":"video","aim":500,"giveUp":3000,"idempotency":"repeatable"},)"
+         R"({"name":"order","aim":700,"giveUp":3000,"idempotency":"once"}],)"
+         R"("familyInfo":{"neverKept":[false,true],"streamKbPerS":8800,"parentKind":1,"sourceKind":2},)"
          R"("limits":{"maxAttempts":4,"connectTimeout":400,"connIdle":30000,"streamsPerConn":100,"cancel":true}}})";
 }
 
@@ -243,6 +244,12 @@
            "\r\nX-Timeout-Ms: " + std::to_string(static_cast<int>(deadline)) +
            "\r\nX-Group: 17\r\n" + headers + "\r\n";
   }
+  std::string NextWrite(Ms deadline, std::size_t body_bytes) {
+    std::string request =
+        NextRequest(deadline, "Content-Length: " + std::to_string(body_bytes) + "\r\n");
+    request.replace(0, std::string_view("GET /ops/video").size(), "PUT /ops/order");
+    return request + std::string(body_bytes, 'o');
+  }
   Client& Request(Client& client, Ms deadline, const std::string& headers = "") {
     client.sent_at = net.now();
     client.deadline = deadline;
