Upstream responses: line, body and end are read by a function each

Need: ReadNext had grown to three jobs in one function of over fifty lines, and looked up the attempt twice.

Done: ReadResponseLine, ReadBody and ReadBodyEnd; FindCurrentAttempt for the lookup; a wrong length is looked for in one place.

--- a/src/caches/caches.cpp
+++ b/src/caches/caches.cpp
@@ -350,53 +350,54 @@
     pool_.exchange_.OnProbeEnded(cache_, false, pool_.loop_.now() - sent_at, {});
   }
 
+  // Reads the next part of a response from the buffer. False: more bytes are needed, or the
+  // connection is about to end.
   bool ReadNext() {
-    std::string_view bytes = connection_.in.bytes();
-    if (!reading_response_) {
-      std::size_t end = bytes.substr(0, kMaxLineBytes).find("\r\n");
-      if (end == bytes.npos) {
-        if (bytes.size() >= kMaxLineBytes)
-          connection_.Disconnect(DisconnectReason::kMalformed);
-        return false;
-      }
-      auto response =
-          ParseResponseLine(bytes.substr(0, end), pool_.connection_settings_.report_names);
-      if (!response) {
-        connection_.Disconnect(DisconnectReason::kMalformed);
-        return false;
-      }
-      connection_.in.Consume(end + 2);
-      trickle_checks_ = 0;
-      response_ = std::move(*response);
-      body_left_ = response_.body_length;
-      reading_response_ = true;
-      if (InFlightMessage* message = FindCurrentMessage();
-          message && message->kind == MessageKind::kAttempt)
-        pool_.exchange_.OnAttemptResponseStarted(message->key, response_.head,
-                                                 response_.body_length);
-      return true;
+    if (!reading_response_)
+      return ReadResponseLine();
+    if (EndsAtWrongLength(connection_.in.bytes())) {
+      connection_.Disconnect(DisconnectReason::kMalformed);
+      return false;
     }
-    if (body_left_ > 0) {
-      if (EndsAtWrongLength(bytes)) {
+    return body_left_ > 0 ? ReadBody() : ReadBodyEnd();
+  }
+  bool ReadResponseLine() {
+    std::string_view bytes = connection_.in.bytes();
+    std::size_t end = bytes.substr(0, kMaxLineBytes).find("\r\n");
+    if (end == bytes.npos) {
+      if (bytes.size() >= kMaxLineBytes)
         connection_.Disconnect(DisconnectReason::kMalformed);
-        return false;
-      }
-      std::string_view chunk = bytes.substr(0, ForwardableLength(bytes));
-      if (chunk.empty())
-        return false;
-      if (InFlightMessage* message = FindCurrentMessage();
-          message && message->kind == MessageKind::kAttempt)
-        pool_.exchange_.OnAttemptResponseData(message->key, chunk);
-      body_left_ -= chunk.size();
-      connection_.in.Consume(chunk.size());
-      return true;
-    }
-    if (bytes.size() < kBodyEnd.size())
       return false;
-    if (EndsAtWrongLength(bytes)) {
+    }
+    auto response =
+        ParseResponseLine(bytes.substr(0, end), pool_.connection_settings_.report_names);
+    if (!response) {
       connection_.Disconnect(DisconnectReason::kMalformed);
       return false;
     }
+    connection_.in.Consume(end + 2);
+    trickle_checks_ = 0;
+    response_ = std::move(*response);
+    body_left_ = response_.body_length;
+    reading_response_ = true;
+    if (InFlightMessage* attempt = FindCurrentAttempt())
+      pool_.exchange_.OnAttemptResponseStarted(attempt->key, response_.head, response_.body_length);
+    return true;
+  }
+  bool ReadBody() {
+    std::string_view bytes = connection_.in.bytes();
+    std::string_view chunk = bytes.substr(0, ForwardableLength(bytes));
+    if (chunk.empty())
+      return false;
+    if (InFlightMessage* attempt = FindCurrentAttempt())
+      pool_.exchange_.OnAttemptResponseData(attempt->key, chunk);
+    body_left_ -= chunk.size();
+    connection_.in.Consume(chunk.size());
+    return true;
+  }
+  bool ReadBodyEnd() {
+    if (connection_.in.size() < kBodyEnd.size())
+      return false;
     connection_.in.Consume(kBodyEnd.size());
     reading_response_ = false;
     trickle_checks_ = 0;
@@ -428,6 +429,12 @@
                : &it->second;
   }
 
+  // The same, if it is an attempt.
+  InFlightMessage* FindCurrentAttempt() {
+    InFlightMessage* message = FindCurrentMessage();
+    return message && message->kind == MessageKind::kAttempt ? message : nullptr;
+  }
+
   void OnResponseRead() {
     InFlightMessage* found = FindCurrentMessage();
     if (!found) {
