Clients: connections are limited by descriptors, what they hold by a memory budget

Cause: at 32 MB the front took 76 client connections, a quarter megabyte each in six tenths of the memory, where clients may hold 341. With a request to a hung cache open on all of them, the next connections waited unread in the listener's backlog until the first of those requests ended.

Change: connections are limited by descriptors (and 4 KB of state each). The bytes that are held for clients (input, request bodies, responses, unsent output) are counted in a budget of the same six tenths. Without room a request is answered 503 at once, partial requests and overdue unread responses are given up, and nothing more is read behind an open request.

--- a/src/clients/clients.cpp
+++ b/src/clients/clients.cpp
@@ -42,6 +42,7 @@
         number_(number),
         descriptor_(fd.Get()),
         connection_(server.loop_, *this, std::move(fd)),
+        memory_(server.exchange_.memory()),
         last_activity_at_(server.loop_.now()) {}
 
   Ms LastActivityAt() const {
@@ -71,10 +72,15 @@
     return true;
   }
 
-  /// Rejects a partial request that has waited for its remainder, to free a connection slot. False:
-  /// the connection stays open.
-  bool RejectPartialToFreeSlot() {
-    return MayRejectPartialRequest(GetState()) && RejectPartialRequest(503);
+  /// Rejects a partial request to free its connection slot or its memory. False: the connection
+  /// stays open.
+  bool RejectPartialToFree(SlotOrMemory needed) {
+    return MayRejectPartialRequest(needed, GetState()) && RejectPartialRequest(503);
+  }
+  /// Gives up what this client makes the front hold, where no response is lost by it.
+  void FreeMemory() {
+    if (RejectPartialToFree(SlotOrMemory::kMemory) || Close(CloseReason::kMemoryNeeded))
+      ++server_.exchange_.counters.memory_shortages;
   }
 
   /// Closes the connection where it has been idle, has held a partial request, or has not read its
@@ -123,11 +129,13 @@
       ShortenOpenRequestDeadline();
     }
     ProcessInput();
-    if (connection_.in.size() >= kMaxInputBytes && !input_blocked_since_)
-      input_blocked_since_ = server_.loop_.now();
+    LimitInput();
+    ChargeMemory();
+    server_.MakeRoomFor(0);
   }
   void OnDrained() override {
     last_activity_at_ = server_.loop_.now();
+    ChargeMemory();
     if (closing_)
       Close(CloseReason::kFinalResponseSent);
     else
@@ -172,6 +180,7 @@
   }
   void OnResponseData(std::string_view data) override {
     connection_.Send(std::string(data));
+    ChargeMemory();
   }
   void OnResponseComplete() override {
     FinishResponse();
@@ -218,6 +227,19 @@
     connection_.DiscardInput();
     pipelined_.Clear();
   }
+  /// Stops reading at the limit. While too much is held for all clients, nothing is read behind a
+  /// request that is being answered.
+  void LimitInput() {
+    const bool is_held_back = request_open_ || !connection_.IsSendQueueEmpty();
+    const std::size_t limit =
+        is_held_back && server_.exchange_.memory().IsExceeded() ? 1 : kMaxInputBytes;
+    connection_.SetReadLimit(limit);
+    if (connection_.in.size() >= limit && !input_blocked_since_)
+      input_blocked_since_ = server_.loop_.now();
+  }
+  void ChargeMemory() {
+    memory_.Set(connection_.IsEnded() ? 0 : connection_.in.capacity() + connection_.QueuedBytes());
+  }
   /// Records when the bytes that were just read arrived. They may have waited in the kernel: for
   /// this connection to be accepted, for space in the buffer, or while the process was suspended.
   void RecordArrival() {
@@ -246,16 +268,7 @@
   /// Reads what has arrived into the buffer, to be processed after the next poll, which shows
   /// whether the client has disconnected.
   void ReceiveAvailable() {
-    constexpr std::size_t kChunk = 1 << 14;
-    const std::size_t before = connection_.in.size();
-    while (connection_.in.size() < kMaxInputBytes) {
-      std::span<char> space = connection_.in.Prepare(kChunk);
-      ssize_t received = server_.loop_.environment().Receive(descriptor_, space.first(kChunk));
-      if (received <= 0)
-        break;  // the next poll reports a close or an error as well
-      connection_.in.Commit(static_cast<std::size_t>(received));
-    }
-    if (connection_.in.size() == before)
+    if (!connection_.ReceiveAvailable(kMaxInputBytes))
       return;
     RecordArrival();
     RecordPipelinedRequests();
@@ -316,6 +329,7 @@
                      !body.empty());
     if (!body.empty())
       connection_.Send(std::move(body));
+    ChargeMemory();
     FinishResponse();
   }
   void LogBadRequest(const std::string& message) {
@@ -347,6 +361,8 @@
     if (closing_)
       DiscardInput();  // lingering: further input is not processed
     processing_input_ = false;
+    LimitInput();
+    ChargeMemory();
   }
 
   bool ProcessNextRequest() {
@@ -407,6 +423,10 @@
     metadata.ttl -= waited + server_.TimePastShutdownGrace(arrived_at);
     if (metadata.ttl < 0)
       return SendResponse(503, {}, {});
+    if (!server_.MakeRoomFor(exchange::BytesNeededFor(metadata))) {
+      ++server_.exchange_.counters.memory_shortages;
+      return SendResponse(503, {}, {});
+    }
     request_open_ = true;
     deadline_at_ = server_.loop_.now() + metadata.ttl;
     connection_.SetRarelyPolled(true);
@@ -418,7 +438,8 @@
   std::uint64_t number_;
   int descriptor_;  // owned by `connection_`
   loop::Connection connection_;
-  bool request_open_ = false;  // a request has no final response yet
+  exchange::MemoryCharge memory_;  // of the input buffer and of the responses to be sent
+  bool request_open_ = false;      // a request has no final response yet
   bool closing_ =
       false;  // the response that is being written, or was written last, is the last one
   bool half_closed_ =
@@ -503,16 +524,33 @@
   });
 }
 
-bool HttpServer::CloseLongestIdle() {
+std::vector<std::shared_ptr<HttpServer::ClientConnection>> HttpServer::LongestIdleFirst() const {
   std::vector<std::shared_ptr<ClientConnection>> longest_idle_first;
   for (auto& [number, client] : connections_)
     longest_idle_first.push_back(client);
   std::sort(longest_idle_first.begin(), longest_idle_first.end(),
             [](auto& a, auto& b) { return a->LastActivityAt() < b->LastActivityAt(); });
+  return longest_idle_first;
+}
+
+bool HttpServer::MakeRoomFor(std::size_t bytes) {
+  const exchange::MemoryBudget& memory = exchange_.memory();
+  if (memory.HasRoomFor(bytes))
+    return true;
+  for (const auto& client : LongestIdleFirst()) {
+    client->FreeMemory();
+    if (memory.HasRoomFor(bytes))
+      return true;
+  }
+  return false;
+}
+
+bool HttpServer::CloseLongestIdle() {
+  const auto longest_idle_first = LongestIdleFirst();
   return std::any_of(longest_idle_first.begin(), longest_idle_first.end(),
                      [](auto& client) { return client->Close(CloseReason::kSlotNeeded); }) ||
          std::any_of(longest_idle_first.begin(), longest_idle_first.end(),
-                     [](auto& client) { return client->RejectPartialToFreeSlot(); });
+                     [](auto& client) { return client->RejectPartialToFree(SlotOrMemory::kSlot); });
 }
 
 // A connection has no open request any more: where new ones wait, it may be closed to free its
--- a/src/clients/clients.hpp
+++ b/src/clients/clients.hpp
@@ -50,7 +50,11 @@
   void AfterNextPoll(std::function<void()> callback);
   void OnConnectionIdle();
   void FreeConnectionSlot();
+  std::vector<std::shared_ptr<ClientConnection>> LongestIdleFirst() const;
   bool CloseLongestIdle();
+  /// Gives up partial requests, and responses that their clients do not read in time, until the
+  /// memory budget has room for `bytes` more. False: there is nothing left to give up.
+  bool MakeRoomFor(std::size_t bytes);
   void CheckTimeouts();
   /// How long after the period in which requests keep their whole deadline, after the announcement
   /// of a shutdown, a request arrived; 0 if it arrived within it.
--- a/src/clients/close_policy.cpp
+++ b/src/clients/close_policy.cpp
@@ -50,6 +50,7 @@
     case CloseReason::kWriteStalled:
       return IsStalled(state) && state.since_last_activity >= kWriteTimeout;
     case CloseReason::kWriteStalledInShutdown:
+    case CloseReason::kMemoryNeeded:
       return IsStalled(state) && state.overdue_for > kResponseTooLate;
     case CloseReason::kLingerTimeout:
       return state.half_closed && state.since_last_activity >= kLingerTime;
@@ -61,10 +62,11 @@
   return false;
 }
 
-bool MayRejectPartialRequest(const ConnectionState& state) {
+bool MayRejectPartialRequest(SlotOrMemory needed, const ConnectionState& state) {
   const bool is_partial_request = state.has_unprocessed_input && !state.request_open &&
                                   !state.output_pending && !state.close_announced;
-  return is_partial_request && state.since_last_activity >= kPartialRequestGrace;
+  return is_partial_request &&
+         (needed == SlotOrMemory::kMemory || state.since_last_activity >= kPartialRequestGrace);
 }
 
 }  // namespace dunlinwick::clients
--- a/src/clients/close_policy.hpp
+++ b/src/clients/close_policy.hpp
@@ -19,7 +19,8 @@
   kWriteStalledInShutdown,   ///< the same during shutdown
   kLingerTimeout,            ///< half-closed, and the linger time is over
   kLingerTimeoutInShutdown,  ///< the same during shutdown
-  kTooManyLingering,         ///< half-closed, and a newer one needs its lingering slot
+  kMemoryNeeded,      ///< the front holds too much for its clients, and this one does not read
+  kTooManyLingering,  ///< half-closed, and a newer one needs its lingering slot
 };
 
 /// What is outstanding on a connection in either direction.
@@ -41,9 +42,14 @@
 /// after reading what has arrived.
 [[nodiscard]] bool MayClose(CloseReason reason, const ConnectionState& state);
 
-/// True if a partial request has waited so long for its remainder that it may be rejected with a
-/// response, to free a connection slot.
-[[nodiscard]] bool MayRejectPartialRequest(const ConnectionState& state);
+/// What a partial request is given up for.
+enum class SlotOrMemory {
+  kSlot,   ///< new connections wait for a connection slot
+  kMemory  ///< the front holds more for its clients than it may
+};
+/// True if a partial request may be rejected with a response: for a slot, once it has waited some
+/// time for its remainder; for memory, at once.
+[[nodiscard]] bool MayRejectPartialRequest(SlotOrMemory needed, const ConnectionState& state);
 
 /// How long a connection that has carried no request yet is kept when a connection slot is needed:
 /// its request may be in transit. As long as a request that crosses a close takes; many silent
--- a/src/exchange/counters.hpp
+++ b/src/exchange/counters.hpp
@@ -44,6 +44,7 @@
   Count discovery_connections = 0;
   Count unanswered_watches = 0;
   Count descriptor_shortages = 0;
+  Count memory_shortages = 0;
   Count config_reloads = 0;
   /// The requests of `rejected`, by reason and by the request's size relative to the mean of its
   /// class.
--- a/src/exchange/exchange.cpp
+++ b/src/exchange/exchange.cpp
@@ -134,7 +134,7 @@
     if (attempt.cache == action.endpoint && attempt.connection != 0)
       avoid.push_back(attempt.connection);
   Ms now = loop_.now();
-  Attempt attempt;
+  Attempt attempt(memory_);
   attempt.cache = action.endpoint;
   attempt.source = action.source;
   attempt.sent_at = now;
@@ -217,6 +217,17 @@
   return it == requests_.end() ? nullptr : &it->second;
 }
 
+// A request's body is held here, in the message that waits for its connection, and in what is being
+// written of it.
+static std::size_t BodyBytesHeld(const RequestMetadata& metadata) {
+  constexpr std::size_t kCopies = 3;
+  return kCopies * metadata.body.size();
+}
+
+std::size_t BytesNeededFor(const RequestMetadata& metadata) {
+  return BodyBytesHeld(metadata) + kMaxObjectBytes;
+}
+
 bool Exchange::IsOpen(std::string_view id) const {
   return std::any_of(requests_.begin(), requests_.end(), [&](auto& entry) {
     return entry.second.response_sink && entry.second.metadata.id == id;
@@ -241,7 +252,8 @@
   event.group = metadata.group;
   event.time_left = metadata.ttl;
   event.size_kb = metadata.size_kb;
-  Request& request = requests_[number];
+  Request& request = requests_.try_emplace(number, memory_).first->second;
+  request.memory.Set(BodyBytesHeld(metadata));
   request.expires_at = loop_.now() + metadata.ttl;
   request.metadata = std::move(metadata);
   request.response_sink = &response_sink;
@@ -295,6 +307,7 @@
   Attempt& attempt = request->attempts[static_cast<std::size_t>(key.attempt)];
   attempt.in_flight = false;
   attempt.body = {};
+  attempt.memory.Set(0);
   loop_.Cancel(attempt.timer);
   loop_.Cancel(attempt.not_after_timer);
   CountResult(result);
@@ -320,28 +333,51 @@
   Attempt* attempt = FindInFlightAttempt(key);
   if (!attempt)
     return;
+  Request& request = *FindRequest(key.request);
+  if (!request.response_sink || request.streamed_attempt >= 0)
+    return;
+  if (!memory_.HasRoomFor(length))
+    return RefuseResponse(key.request);
+  attempt->memory.Set(length);
   attempt->body.reserve(length);
   // An empty response is not streamed: its head alone would be a complete response, before the end
   // behind the body has shown that the stated length is right.
-  Request& request = *FindRequest(key.request);
   if (!request_classes_[static_cast<std::size_t>(request.metadata.request_class_index)].streams ||
-      !request.response_sink || request.streamed_attempt >= 0 || length == 0 ||
-      head.result != AttemptResult::kFinished || head.not_modified || head.entity_tag.empty() ||
-      !head.has_issue_time)
+      length == 0 || head.result != AttemptResult::kFinished || head.not_modified ||
+      head.entity_tag.empty() || !head.has_issue_time)
     return;
   request.streamed_attempt = key.attempt;
   request.response_sink->OnResponseStarted(head.entity_tag, length);
   HandleEvent(ResponseStarted{key.request, attempt->cache, key.attempt});
 }
 
+// There is no room for the response: the request ends at once. It has run, so only a request that
+// may run again is rejected.
+void Exchange::RefuseResponse(std::uint32_t request_id) {
+  Request& request = *FindRequest(request_id);
+  const RequestClass& request_class =
+      request_classes_[static_cast<std::size_t>(request.metadata.request_class_index)];
+  const bool may_run_again = request_class.effect == Effect::kIdempotent;
+  ++counters.memory_shortages;
+  ++(may_run_again ? counters.rejected : counters.failed);
+  ResponseSink* response_sink = CloseRequest(request_id);
+  if (may_run_again)
+    response_sink->OnRejected(0);
+  else
+    response_sink->OnFailed();
+  HandleEvent(ClientLeft{request_id});
+}
+
 void Exchange::OnAttemptResponseData(AttemptKey key, std::string_view data) {
   Attempt* attempt = FindInFlightAttempt(key);
   if (!attempt)
     return;
   Request& request = *FindRequest(key.request);
-  if (request.streamed_attempt != key.attempt)
+  if (!request.response_sink)
+    return;
+  if (request.streamed_attempt < 0)
     attempt->body.append(data);
-  else if (request.response_sink)
+  else if (request.streamed_attempt == key.attempt)
     request.response_sink->OnResponseData(data);
 }
 
--- a/src/exchange/exchange.hpp
+++ b/src/exchange/exchange.hpp
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "exchange/counters.hpp"
+#include "exchange/memory_budget.hpp"
 #include "logic.hpp"
 #include "loop/connection.hpp"
 
@@ -34,6 +35,9 @@
   double size_kb = 0;
 };
 
+/// The memory that must be free for a request to be taken: for its body and the largest response.
+std::size_t BytesNeededFor(const RequestMetadata& metadata);
+
 // The client's end of a request. Receives at most one final response.
 class ResponseSink {
  public:
@@ -119,6 +123,10 @@
     upstream_ = &upstream;
   }
   Counters counters;
+  /// What is held for clients: here, and on their connections.
+  MemoryBudget& memory() {
+    return memory_;
+  }
   bool IsReady() const {
     return has_endpoint_list_;
   }
@@ -185,6 +193,7 @@
 
  private:
   struct Attempt {
+    explicit Attempt(MemoryBudget& budget) : memory(budget) {}
     std::uint32_t cache = 0;
     std::uint64_t connection = 0;
     std::uint32_t source = 0;
@@ -195,8 +204,10 @@
     std::uint64_t timer = 0;
     std::uint64_t not_after_timer = 0;  // fires at `not_after`
     std::string body;
+    MemoryCharge memory;  // of `body`, from when its length is known
   };
   struct Request {
+    explicit Request(MemoryBudget& budget) : memory(budget) {}
     RequestMetadata metadata;
     ResponseSink* response_sink =
         nullptr;  // null once the final response is given or the client has disconnected
@@ -204,6 +215,7 @@
     int streamed_attempt =
         -1;  // index of the attempt whose response is streamed to the client; -1: none
     std::vector<Attempt> attempts;
+    MemoryCharge memory;  // of the request's body
   };
 
   static bool IsInFlight(const Attempt& attempt) {
@@ -231,6 +243,7 @@
   void CancelUnsentWhere(Predicate predicate);
   void CancelUnsentPurged(std::string_view object, int group, int request_class);
   void CleanUpRequest(std::uint32_t request_id);
+  void RefuseResponse(std::uint32_t request_id);
   void CountResult(AttemptResult result);
   struct KnownEndpoint {
     std::uint32_t number = 0;
@@ -242,6 +255,7 @@
   void RemoveStaleEndpoints();
 
   loop::Loop& loop_;
+  MemoryBudget memory_;  // before what is charged to it
   RequestRouter request_router_;
   std::vector<RequestClass> request_classes_;
   UpstreamTransport* upstream_ = nullptr;
--- a/src/front/exposition.cpp
+++ b/src/front/exposition.cpp
@@ -61,6 +61,8 @@
      &Counters::unanswered_watches},
     {"short_of_descriptors", "clients not accepted for want of a descriptor",
      &Counters::descriptor_shortages},
+    {"short_of_memory", "requests refused and connections closed for want of memory",
+     &Counters::memory_shortages},
     {"reloads", "new configurations taken", &Counters::config_reloads},
 };
 static_assert(std::size(kMetrics) * sizeof(Counters::Count) + sizeof(Counters::refused) ==
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -37,14 +37,22 @@
   return UsableDescriptors(configuration, loop) / 16;
 }
 
+// What may be held for clients; the rest is for the program itself and for the allocator's losses.
+std::size_t ClientMemoryBytes(const FrontConfiguration& configuration) {
+  constexpr double kMemoryShare = 0.6;
+  constexpr double kBytesPerMb = 1 << 20;
+  return static_cast<std::size_t>(kMemoryShare * configuration.memory_mb * kBytesPerMb);
+}
+
 // By the protocol clients hold at most a third of the descriptors; half leaves room for connections
-// that are about to close. Each client may hold one response of the largest size, here and in the
-// system's buffers, so memory bounds their number too.
+// that are about to close. What connections hold beyond their own state is limited by the
+// Exchange's memory budget: with fewer connections, requests would wait unread behind those that
+// are open.
 std::size_t MaxClientConnections(const FrontConfiguration& configuration, loop::Loop& loop) {
-  constexpr double kMemoryShare = 0.6, kMbPerClient = 0.25;
+  constexpr std::size_t kIdleConnectionBytes = 4096;
   return std::min(
       UsableDescriptors(configuration, loop) / 2 - MaxLingeringConnections(configuration, loop),
-      static_cast<std::size_t>(kMemoryShare * configuration.memory_mb / kMbPerClient));
+      ClientMemoryBytes(configuration) / kIdleConnectionBytes);
 }
 
 std::size_t CacheDescriptors(const FrontConfiguration& configuration, loop::Loop& loop) {
@@ -83,6 +91,7 @@
                MaxClientConnections(configuration, loop),
                MaxLingeringConnections(configuration, loop)) {
   exchange_.SetUpstreamTransport(caches_);
+  exchange_.memory().SetLimit(ClientMemoryBytes(configuration));
   if (!discovery_.ApplyInitialEvents(configuration.known_updates))
     throw std::runtime_error("configuration has no valid updates under known");
   discovery_.StartWatch();
--- a/src/loop/connection.cpp
+++ b/src/loop/connection.cpp
@@ -249,13 +249,11 @@
   timer_ = loop_.RunAt(loop_.now(), [this] {
     constexpr int kMaxReads = 64;  // reads: 1 MB, beyond any answer
     for (int i = 0; i < kMaxReads && !IsEnded() && in.size() < read_limit_; ++i) {
-      std::span<char> space = in.Prepare(1 << 14);
-      ssize_t received = loop_.environment().Receive(descriptor_.Get(), space);
+      ssize_t received = ReceiveChunk();
       if (received == -EINTR)
         continue;
       if (received <= 0)
         break;
-      in.Commit(static_cast<std::size_t>(received));
       owner_.OnBytesReceived();
     }
     if (!IsEnded())
@@ -263,14 +261,34 @@
   });
 }
 
+// Returns what Environment::Receive() returns.
+ssize_t Connection::ReceiveChunk() {
+  std::span<char> chunk = loop_.read_buffer();
+  ssize_t received = loop_.environment().Receive(descriptor_.Get(), chunk);
+  if (received > 0)
+    in.Append(chunk.first(static_cast<std::size_t>(received)));
+  return received;
+}
+
+bool Connection::ReceiveAvailable(std::size_t limit) {
+  const std::size_t before = in.size();
+  while (in.size() < limit && ReceiveChunk() > 0) {
+  }
+  return in.size() > before;
+}
+
+std::size_t Connection::QueuedBytes() const {
+  std::size_t bytes = 0;
+  for (const Message& message : send_queue_)
+    bytes += message.bytes.size();
+  return bytes;
+}
+
 void Connection::ReadOnce() {
   // One read per iteration, so that a fast sender does not delay the other connections.
-  constexpr std::size_t kChunk = 1 << 14;
-  std::span<char> space = in.Prepare(kChunk);
-  ssize_t received = loop_.environment().Receive(descriptor_.Get(), space);
+  ssize_t received = ReceiveChunk();
   if (received > 0) {
-    has_read_all_ = static_cast<std::size_t>(received) < space.size();
-    in.Commit(static_cast<std::size_t>(received));
+    has_read_all_ = static_cast<std::size_t>(received) < loop_.read_buffer().size();
     owner_.OnBytesReceived();
     UpdateWatch();
   } else if (received == 0) {
--- a/src/loop/connection.hpp
+++ b/src/loop/connection.hpp
@@ -79,6 +79,11 @@
     return has_read_all_;
   }
   void SetReadLimit(std::size_t limit);  // stops reading while the buffer holds this much
+  /// Reads what has arrived, without a report, until the buffer holds `limit` bytes. False: nothing
+  /// had arrived. The next poll reports a close or an error.
+  bool ReceiveAvailable(std::size_t limit);
+  /// Bytes of the messages that are still to be sent.
+  std::size_t QueuedBytes() const;
   /// Removes `size` bytes, or all, from the buffer, and resumes reading if it had stopped at the
   /// read limit. For use outside OnBytesReceived(), after which reading resumes by itself.
   void ConsumeInput(std::size_t size);
@@ -98,6 +103,7 @@
   void OnReady(short events) override;
   void Finish(DisconnectReason reason);
   void ReadOnce();
+  ssize_t ReceiveChunk();
   std::uint64_t Enqueue(Message message, bool more);
   bool ComposeFirst();
   void Flush();
--- a/src/loop/loop.hpp
+++ b/src/loop/loop.hpp
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <span>
 #include <vector>
 
 #include "loop/environment.hpp"
@@ -51,6 +52,11 @@
     deferred_deletes_.push_back(std::move(object));
   }
 
+  /// Where the bytes of one read are received before their connection stores them. Overwritten by
+  /// the next read.
+  std::span<char> read_buffer() {
+    return read_buffer_;
+  }
   /// When the last wait for descriptors returned: later events on them are not seen yet.
   Ms LastWaitEnded() const {
     return last_wait_ended_;
@@ -82,7 +88,10 @@
                      std::vector<std::uint64_t>& generations) const;
   int PollAll(std::vector<pollfd>& polled, std::vector<std::uint64_t>& generations);
 
+  static constexpr std::size_t kReadBufferBytes = 1 << 14;
+
   Environment& environment_;
+  std::vector<char> read_buffer_ = std::vector<char>(kReadBufferBytes);
   Ms clock_offset_ = 0;
   Ms last_full_poll_ = 0;
   Ms last_wait_ended_ = 0;
--- a/tests/front_terms_test.cpp
+++ b/tests/front_terms_test.cpp
@@ -9,6 +9,7 @@
 
 #include "support/simulated_front.hpp"
 
+using namespace dunlinwick;
 using namespace dunlinwick::testing;
 
 namespace {
@@ -59,6 +60,31 @@
   }
 }
 
+// With memory for few connections the front left requests unread behind those that servers did not
+// answer, until the first of those ended: requests with little time were answered too late.
+TEST_CASE("requests with little time are answered beside as many open ones as clients may have") {
+  constexpr std::size_t kSockets = 1024;
+  constexpr std::size_t kClientConnections = kSockets / 3;
+  constexpr Ms kLittleTime = 200;
+  auto leaves_long_requests_open = [](Ms, const Event& event) -> std::vector<Action> {
+    const auto* arrived = std::get_if<RequestArrived>(&event);
+    if (!arrived || arrived->time_left > kLittleTime)
+      return {};
+    return {RejectRequest{.request = arrived->request}};
+  };
+  Deployment deployment(ServerMode::kHang, DiscoveryMode::kMute, kSockets,
+                        leaves_long_requests_open);
+  for (std::size_t i = 1; i < kClientConnections; ++i) {
+    deployment.Send(deployment.Connect(), deployment.NextRequest(kLongestDeadline));
+    // More at one instant would overflow the simulated listener's queue.
+    if (i % 40 == 0)
+      deployment.RunFor(20);
+  }
+  deployment.Request(kLittleTime);
+  deployment.RunFor(kLongestDeadline);
+  deployment.CheckAnswers(1);
+}
+
 TEST_CASE("each request is answered in time beside clients that exhaust the descriptors") {
   for (const char* bytes :
        {"", "GET /ops/video/1 HTTP/1.1\r\nX-Request-Id: ", "GET /alive HTTP/1.1\r\n\r\n", "\x16"}) {
--- a/tests/support/simulated_front.hpp
+++ b/tests/support/simulated_front.hpp
@@ -191,7 +191,7 @@
 class Deployment {
  public:
   explicit Deployment(ServerMode mode, DiscoveryMode discovery = DiscoveryMode::kMute,
-                      std::size_t sockets = 256)
+                      std::size_t sockets = 256, exchange::RequestRouter router = nullptr)
       : servers(net, mode),
         clients_(net.Start(kClientHost, "clients")),
         discovery_(net.Start(kDiscoveryHost, "discovery")),
@@ -204,8 +204,10 @@
       });
     }
     front_process.Execute([&] {
-      front = std::make_unique<front::Front>(
-          front_process.loop(), front::ParseConfiguration(ConfigurationText(sockets), "test", ""));
+      const front::FrontConfiguration configuration =
+          front::ParseConfiguration(ConfigurationText(sockets), "test", "");
+      front = router ? std::make_unique<front::Front>(front_process.loop(), configuration, router)
+                     : std::make_unique<front::Front>(front_process.loop(), configuration);
     });
   }
   ~Deployment() {
