Clients: one connection's requests don't keep the others waiting

What callers saw: while one client sent requests that are rejected, on one connection at full speed, others got no answer: 2 of 3 or 4 requests of each of two clients in 5 s, in each of three forms.

Cause: ProcessInput goes on while its buffer holds a request that is answered at once, and rejecting one reads what else has arrived. The buffer never ran empty, and the loop did not return to its other connections.

Change: 16 requests of a connection an iteration of the loop; the rest waits for the next poll, with the time at which it arrived.

--- a/src/clients/clients.cpp
+++ b/src/clients/clients.cpp
@@ -21,6 +21,8 @@
 // checked four times a second. Cost: a client on so slow a link that a request takes as long is
 // rejected. Requests whose connection closes before are sent again, on a new connection.
 constexpr Ms kMaxRequestReadTime = 2.5 * kSecond;
+// Requests of one connection that are processed in one iteration of the loop.
+constexpr int kMaxRequestsPerTurn = 16;
 // Maximum bytes in a connection's input buffer: as much as the connection itself buffers.
 constexpr std::size_t kMaxInputBytes = 1 << 16;
 
@@ -275,10 +277,14 @@
     ProcessInputAfterNextPoll();
   }
   void ProcessInputAfterNextPoll() {
+    if (std::exchange(processing_scheduled_, true))
+      return;
     server_.AfterNextPoll([&server = server_, number = number_] {
       auto it = server.connections_.find(number);
-      if (it != server.connections_.end())
-        it->second->ProcessInput();
+      if (it == server.connections_.end())
+        return;
+      it->second->processing_scheduled_ = false;
+      it->second->ProcessInput();
     });
   }
   /// False: the remainder has arrived by now, and the request is served. A 503 is safe to repeat,
@@ -355,11 +361,21 @@
     processing_input_ = true;
     // One request at a time, and none while the last response is still being written: this bounds
     // the memory in use.
-    while (!request_open_ && !closing_ && connection_.IsSendQueueEmpty() &&
-           connection_.in.size() > 0 && ProcessNextRequest()) {
-    }
+    auto may_process = [this] {
+      return !request_open_ && !closing_ && connection_.IsSendQueueEmpty() &&
+             connection_.in.size() > 0;
+    };
+    int processed = 0;
+    while (processed < kMaxRequestsPerTurn && may_process() && ProcessNextRequest())
+      ++processed;
     if (closing_)
       DiscardInput();  // lingering: further input is not processed
+    // What is left waits for the next iteration, so that requests that are answered at once do not
+    // keep the other connections waiting.
+    if (processed == kMaxRequestsPerTurn && may_process()) {
+      RecordPipelinedRequests();
+      ProcessInputAfterNextPoll();
+    }
     processing_input_ = false;
     LimitInput();
     ChargeMemory();
@@ -447,6 +463,7 @@
   bool response_keeps_connection_ = true;  // the last response did not announce the close
   bool keep_alive_ = true;
   bool processing_input_ = false;
+  bool processing_scheduled_ = false;  // after the next poll
   bool continue_sent_ = false;
   bool at_request_boundary_ = true;
   bool has_served_ = false;  // a complete request has arrived
