Exchange: an id that may have been executed is not executed again

Cause: an id was refused only while its first request had no final response. When the client leaves the request is closed, and forgotten with its last attempt.

--- a/src/clients/clients.cpp
+++ b/src/clients/clients.cpp
@@ -426,8 +426,8 @@
     if (int status = ReadRequestMetadata(request, server_.request_classes_, metadata); status != 0)
       return RejectRequest(status);
     // Every request has a new id. Two open requests with one id could get each other's response, or
-    // run twice.
-    if (server_.exchange_.IsOpen(metadata.id))
+    // run twice, also when the client of the first one has left.
+    if (server_.exchange_.IsIdTaken(metadata.id))
       return RejectRequest(409);
     // The client closed the connection right after this request: no response is due, and an attempt
     // started long after the client left violates an invariant.
--- a/src/exchange/exchange.cpp
+++ b/src/exchange/exchange.cpp
@@ -85,8 +85,19 @@
     return;
   CancelUnsent(request_id, [](const Attempt&) { return true; });
   if (pending_events_.empty() &&
-      std::none_of(request->attempts.begin(), request->attempts.end(), IsInFlight))
+      std::none_of(request->attempts.begin(), request->attempts.end(), IsInFlight)) {
+    if (MayHaveHadEffect(*request))
+      executed_ids_.Add(request->metadata.id, loop_.now());
     requests_.erase(request_id);
+  }
+}
+
+bool Exchange::MayHaveHadEffect(const Request& request) const {
+  const auto index = static_cast<std::size_t>(request.metadata.request_class_index);
+  return request_classes_[index].effect != Effect::kIdempotent &&
+         std::any_of(request.attempts.begin(), request.attempts.end(), [](const Attempt& attempt) {
+           return attempt.in_flight || attempt.may_have_run;
+         });
 }
 
 template <class Predicate>
@@ -228,10 +239,12 @@
   return BodyBytesHeld(metadata) + kMaxObjectBytes;
 }
 
-bool Exchange::IsOpen(std::string_view id) const {
-  return std::any_of(requests_.begin(), requests_.end(), [&](auto& entry) {
-    return entry.second.response_sink && entry.second.metadata.id == id;
-  });
+bool Exchange::IsIdTaken(std::string_view id) const {
+  auto takes_id = [&](const auto& entry) {
+    const Request& request = entry.second;
+    return request.metadata.id == id && (request.response_sink || MayHaveHadEffect(request));
+  };
+  return executed_ids_.Contains(id) || std::any_of(requests_.begin(), requests_.end(), takes_id);
 }
 
 std::uint32_t Exchange::OnRequest(RequestMetadata metadata, ResponseSink& response_sink) {
@@ -301,11 +314,30 @@
   ++*counts[static_cast<int>(result)];
 }
 
+// False where the result shows that the server has not executed the attempt.
+static bool MayHaveRun(AttemptResult result) {
+  switch (result) {
+    case AttemptResult::kFinished:
+    case AttemptResult::kError:
+    case AttemptResult::kTimedOut:
+    case AttemptResult::kDisconnected:
+    case AttemptResult::kCancelled:
+      return true;
+    case AttemptResult::kOverloaded:
+    case AttemptResult::kNotSent:
+    case AttemptResult::kStartDeadlinePassed:
+    case AttemptResult::kMiss:
+      return false;
+  }
+  return true;
+}
+
 void Exchange::EndAttempt(AttemptKey key, AttemptResult result, const ResponseHead& head,
                           int lost_with_connection, bool local_cause) {
   Request* request = FindRequest(key.request);
   Attempt& attempt = request->attempts[static_cast<std::size_t>(key.attempt)];
   attempt.in_flight = false;
+  attempt.may_have_run = MayHaveRun(result);
   attempt.body = {};
   attempt.memory.Set(0);
   loop_.Cancel(attempt.timer);
--- a/src/exchange/exchange.hpp
+++ b/src/exchange/exchange.hpp
@@ -12,6 +12,7 @@
 
 #include "exchange/counters.hpp"
 #include "exchange/memory_budget.hpp"
+#include "exchange/recent_request_ids.hpp"
 #include "logic.hpp"
 #include "loop/connection.hpp"
 
@@ -141,7 +142,9 @@
   /// Shortens the request's deadline to `deadline_at`, if that is earlier than the present
   /// one. A response that is already being streamed continues.
   void ShortenDeadline(std::uint32_t request_id, Ms deadline_at);
-  bool IsOpen(std::string_view id) const;  // a request with that id has no final response yet
+  /// Whether a request with that id has no final response yet, or may have been executed and must
+  /// not be executed again.
+  bool IsIdTaken(std::string_view id) const;
 
   // Called by the transport. It reports the last byte of a body only once the length of the body is
   // known to be right, since a streamed response is forwarded as it is reported.
@@ -201,6 +204,7 @@
     Ms not_after = 0;
     Ms deadline = 0;  // the attempt's timeout, or its client's deadline if that comes first
     bool in_flight = true;
+    bool may_have_run = false;  // known once it has ended
     std::uint64_t timer = 0;
     std::uint64_t not_after_timer = 0;  // fires at `not_after`
     std::string body;
@@ -243,6 +247,8 @@
   void CancelUnsentWhere(Predicate predicate);
   void CancelUnsentPurged(std::string_view object, int group, int request_class);
   void CleanUpRequest(std::uint32_t request_id);
+  /// Whether the request must not be executed again, and may have been executed.
+  bool MayHaveHadEffect(const Request& request) const;
   void RefuseResponse(std::uint32_t request_id);
   void CountResult(AttemptResult result);
   struct KnownEndpoint {
@@ -267,6 +273,7 @@
       closed_requests_;  // requests that may now be removed; emptied likewise
   std::map<std::uint32_t, Request>
       requests_;  // removed when a request has its response and its last attempt has ended
+  RecentRequestIds executed_ids_;                   // of requests that were removed
   std::map<std::string, KnownEndpoint> endpoints_;  // by endpoint id; removed on a list update some
                                                     // time after the endpoint has left the list
   std::unordered_set<std::uint32_t>
--- a/tests/exchange_test.cpp
+++ b/tests/exchange_test.cpp
@@ -258,6 +258,47 @@
   assert(d.caches.numbers[first] == number + 1);
 }
 
+// The oldest ids are forgotten, by number and by time, so that ever new ids do not fill the memory.
+void ExecutedIdsAreBounded() {
+  constexpr int kAdded = 100000;
+  exchange::RecentRequestIds ids;
+  for (int i = 0; i < kAdded; ++i)
+    ids.Add(std::to_string(i), 0);
+  assert(ids.size() < kAdded / 2 && ids.size() >= 10000);
+  assert(ids.Contains(std::to_string(kAdded - 1)) && !ids.Contains("0"));
+  constexpr Ms kHour = 3600 * 1000;
+  ids.Add("last", kHour);
+  assert(ids.size() == 1 && ids.Contains("last"));
+}
+
+// A response that has no room is not stored. Its request is rejected, or failed where it may not be
+// executed again; all that was charged is given back.
+void ResponsesWithoutRoomEndTheirRequests() {
+  for (Effect effect : {Effect::kIdempotent, Effect::kExclusive}) {
+    loop::Loop loop;
+    RecordingTransport caches;
+    DeploymentSettings settings = kit::Settings();
+    settings.request_classes[0].effect = effect;
+    exchange::Exchange exchange(loop, settings, 1);
+    exchange.SetUpstreamTransport(caches);
+    exchange.OnListUpdate(true, MakeEndpointList({{"origin", {}}, {"s-1", {}}}));
+    exchange.memory().SetLimit(1000);
+    RecordingResponseSink client;
+    RequestMetadata request = MakeRequest();
+    request.body = "body";
+    exchange.OnRequest(request, client);
+    assert(caches.sent.size() == 1 && exchange.memory().used_bytes() > 0);
+    const AttemptKey key = caches.sent[0].key;
+    const exchange::ResponseHead head = MakeResponseHead(AttemptResult::kFinished);
+    exchange.OnAttemptResponseStarted(key, head, 1001);
+    const std::string expected = effect == Effect::kExclusive ? "502" : "503";
+    assert(client.Is({expected}) && exchange.counters.memory_shortages == 1);
+    exchange.OnAttemptResponseData(key, std::string(1001, 'b'));
+    exchange.OnAttemptResponseComplete(key, head);
+    assert(client.Is({expected}) && exchange.memory().used_bytes() == 0);
+  }
+}
+
 }  // namespace
 
 int main() {
@@ -273,6 +314,8 @@
         {"disconnected clients get no response", DisconnectedClientsGetNoResponse},
         {"overdue requests are rejected", OverdueRequestsAreRejected},
         {"streams are forwarded as they arrive", StreamsAreForwardedAsTheyArrive},
+        {"executed ids are bounded", ExecutedIdsAreBounded},
+        {"responses without room end their requests", ResponsesWithoutRoomEndTheirRequests},
         {"removed endpoints are forgotten", RemovedEndpointsAreForgotten},
         {"numbers are assigned in order", NumbersAreAssignedInOrder},
         {"numbers of forgotten endpoints are reused", NumbersOfForgottenEndpointsAreReused}}) {
